--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+MODULES := core controld entryd flamingoctl standin
+PROGRAMS := controld entryd flamingoctl standin
+GOLANGCI_LINT_VERSION := v2.15.0
+LINT := $(shell go env GOPATH)/bin/golangci-lint
+
+export CGO_ENABLED = 1
+
+.PHONY: all build demo test check format lint unit generate tools
+
+all: build
+
+build:
+	@mkdir -p build
+	@for p in $(PROGRAMS); do go build -C $$p -o ../build/$$p . || exit 1; done
+
+# Starts a small whole system on loopback, applies an example sheet and prints what runs, waits and why.
+demo: build
+	./build/standin demo
+
+# Runs formatter check, linter, build and tests.
+test: tools format lint build linked unit
+
+format:
+	@out=$$(gofmt -l $(MODULES) | grep -v '\.pb\.go$$'); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+lint:
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
+
+# The programs are linked to the C library, as the platform expects.
+linked: build
+	@for p in controld entryd; do ldd build/$$p | grep -q libc.so || { echo "$$p is not linked to the C library"; exit 1; }; done
+
+unit: build
+	@go test $(foreach m,$(MODULES),./$(m)/...)
+
+# Needs protoc and protoc-gen-go; only for changes of messages.
+generate:
+	protoc --go_out=core --go_opt=module=flamingodrift.example/core -I core core/wire/wire.proto
+
+tools:
+	@test -x $(LINT) || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
--- /dev/null
+++ b/controld/internal/cell/cell.go
@@ -0,0 +1,362 @@
+// Package cell is the aggregate root of one cell's durable state. Every change goes through the replicated log and is
+// applied in the same way on every node.
+package cell
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/controld/internal/change"
+	"flamingodrift.example/controld/internal/claim"
+	"flamingodrift.example/controld/internal/job"
+	"flamingodrift.example/controld/internal/resource"
+	"flamingodrift.example/controld/internal/worker"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// Bounds of a cell.
+const (
+	MaxJobs    = 10_000
+	MaxTasks   = 20_000
+	MaxWorkers = 1_024
+	MaxTeams   = 512
+	MaxHistory = 1_000
+	// MaxStopPercent is the share of active tasks that a sheet may stop without a confirmation.
+	MaxStopPercent = 20
+	// FinishedRunDays is how long a finished run is remembered after its row left the sheet.
+	FinishedRunDays = 35
+)
+
+const dayMs = 24 * int64(time.Hour/time.Millisecond)
+
+// Cell is owned by the thread that applies the log; nothing in it may be used by another.
+type Cell struct {
+	revision    uint64
+	config      *wire.Config
+	sheetNumber uint64
+	sheetDigest []byte
+	jobs        map[string]*job.Job
+	waiting     map[string]*job.Job
+	workers     map[string]*worker.Worker
+	usage       map[string]resource.Vector
+	claims      *claim.Book
+	changes     *change.Log
+	history     []*wire.HistoryEntry
+	nextAttempt uint64
+	nextOrder   uint64
+	finished    map[runHash]int64
+}
+
+// runHash is the first half of the SHA-256 of a job id; a full id would take several times the memory.
+type runHash [16]byte
+
+func hashRun(id string) runHash {
+	sum := sha256.Sum256([]byte(id))
+	return runHash(sum[:16])
+}
+
+// New returns an empty cell.
+func New() *Cell {
+	return &Cell{
+		config:   &wire.Config{Profile: "waiting"},
+		jobs:     map[string]*job.Job{},
+		waiting:  map[string]*job.Job{},
+		workers:  map[string]*worker.Worker{},
+		usage:    map[string]resource.Vector{},
+		claims:   claim.New(),
+		changes:  change.New(),
+		finished: map[runHash]int64{},
+	}
+}
+
+// Apply executes one command of the log.
+func (c *Cell) Apply(command *wire.Command) *wire.Result {
+	now := command.GetNowUnixMs()
+	switch body := command.GetBody().(type) {
+	case *wire.Command_Configure:
+		return c.operate(body.Configure.GetChange(), now, func() *wire.Result {
+			return c.configure(body.Configure.GetConfig())
+		})
+	case *wire.Command_ApplySheet:
+		return c.operate(body.ApplySheet.GetChange(), now, func() *wire.Result {
+			return c.applySheet(body.ApplySheet, now)
+		})
+	case *wire.Command_CancelJob:
+		return c.operate(body.CancelJob.GetChange(), now, func() *wire.Result {
+			return c.cancel(body.CancelJob.GetKey(), now)
+		})
+	case *wire.Command_DrainWorker:
+		return c.operate(body.DrainWorker.GetChange(), now, func() *wire.Result {
+			return c.drain(body.DrainWorker)
+		})
+	case *wire.Command_Decisions:
+		c.decide(body.Decisions, now)
+	case *wire.Command_WorkerEvents:
+		for _, event := range body.WorkerEvents.GetEvents() {
+			c.workerEvent(event, now)
+		}
+	case *wire.Command_OpenClaim:
+		return &wire.Result{Claim: c.claims.Open(body.OpenClaim.GetRequest(), now)}
+	case *wire.Command_SettleClaim:
+		c.claims.Settle(body.SettleClaim)
+	case *wire.Command_OrphanClaims:
+		c.claims.Orphan(body.OrphanClaims.GetEntry(), body.OrphanClaims.GetBoot())
+	case *wire.Command_ExpireClaims:
+		c.claims.Expire(int(body.ExpireClaims.GetCount()), now)
+	}
+	return &wire.Result{}
+}
+
+func refuse(r reason.Reason, format string, args ...any) *wire.Result {
+	return &wire.Result{Reason: r.String(), Detail: fmt.Sprintf(format, args...)}
+}
+
+// operate applies an operator's change once, if it was made from the present revision.
+func (c *Cell) operate(ch *wire.Change, now int64, apply func() *wire.Result) *wire.Result {
+	if known := c.changes.Find(ch); known != nil {
+		return known
+	}
+	if ch.GetExpectedRevision() != c.revision {
+		return refuse(reason.Conflict, "the revision is %d, not %d; since then: %s",
+			c.revision, ch.GetExpectedRevision(), c.changesSince(ch.GetExpectedRevision()))
+	}
+	result := apply()
+	if result.GetReason() != "" {
+		return result
+	}
+	c.revision++
+	result.Revision = c.revision
+	c.changes.Add(ch, result)
+	c.history = append(c.history, &wire.HistoryEntry{
+		Revision: c.revision, AtUnixMs: now, Operator: ch.GetOperator(), Text: result.GetDetail(),
+	})
+	if len(c.history) > MaxHistory {
+		c.history = append([]*wire.HistoryEntry(nil), c.history[len(c.history)-MaxHistory:]...)
+	}
+	return result
+}
+
+func (c *Cell) changesSince(revision uint64) string {
+	const shown = 5
+	text, count := "", 0
+	for i := len(c.history) - 1; i >= 0 && c.history[i].GetRevision() > revision; i-- {
+		if count++; count <= shown {
+			h := c.history[i]
+			text += fmt.Sprintf("revision %d by %s: %s; ", h.GetRevision(), h.GetOperator(), h.GetText())
+		}
+	}
+	if count > shown {
+		text += fmt.Sprintf("and %d more; ", count-shown)
+	}
+	if text == "" {
+		return "nothing; that revision does not exist"
+	}
+	return text[:len(text)-2]
+}
+
+func (c *Cell) configure(config *wire.Config) *wire.Result {
+	if len(config.GetTeams()) > MaxTeams {
+		return refuse(reason.LimitReached, "at most %d teams", MaxTeams)
+	}
+	config = proto.Clone(config).(*wire.Config)
+	config.Revision = c.revision + 1
+	c.config = config
+	return &wire.Result{Detail: fmt.Sprintf("configuration with %d teams and %d services",
+		len(config.GetTeams()), len(config.GetServices()))}
+}
+
+func (c *Cell) drain(d *wire.DrainWorker) *wire.Result {
+	w := c.workers[d.GetWorker()]
+	if w == nil {
+		return refuse(reason.NotFound, "no worker %q", d.GetWorker())
+	}
+	w.SetDraining(d.GetDrain())
+	if d.GetDrain() {
+		return &wire.Result{Detail: "drain worker " + w.Name()}
+	}
+	return &wire.Result{Detail: "end drain of worker " + w.Name()}
+}
+
+func (c *Cell) cancel(key string, now int64) *wire.Result {
+	found := false
+	for id, j := range c.jobs {
+		if id == key || j.Spec().GetKey() == key {
+			found = true
+			j.Cancel(now)
+			c.touch(j)
+		}
+	}
+	if !found {
+		return refuse(reason.NotFound, "no job %q", key)
+	}
+	return &wire.Result{Detail: "cancel job " + key}
+}
+
+// touch keeps the indexes in step with a changed job.
+func (c *Cell) touch(j *job.Job) {
+	if j.Waiting() > 0 {
+		c.waiting[j.ID()] = j
+	} else {
+		delete(c.waiting, j.ID())
+	}
+}
+
+// decide applies one round of the planner. A placement that does not fit any more is left out: the task goes on waiting.
+func (c *Cell) decide(d *wire.Decisions, now int64) {
+	for _, hold := range d.GetWorkerHolds() {
+		if w := c.workers[hold.GetWorker()]; w != nil {
+			w.SetHeld(hold.GetHeld(), hold.GetReason())
+		}
+	}
+	for _, hold := range d.GetJobHolds() {
+		if j := c.jobs[hold.GetKey()]; j != nil {
+			j.SetHeld(hold.GetHeld(), hold.GetReason())
+		}
+	}
+	for _, stop := range d.GetStops() {
+		if t := c.Task(stop.GetTask()); t != nil {
+			t.Job().Stop(t, stop.GetReason())
+		}
+	}
+	rejected := c.rejectedGroups(d.GetPlacements())
+	for _, p := range d.GetPlacements() {
+		if t := c.Task(p.GetTask()); t != nil && !rejected[t.Job().ID()] {
+			c.place(t, c.workers[p.GetWorker()], now)
+		}
+	}
+}
+
+func (c *Cell) place(t *job.Task, w *worker.Worker, now int64) {
+	if w == nil || !t.Waiting() || t.Job().Held() || !w.Usable() {
+		return
+	}
+	need := t.Job().Need()
+	attempt := c.nextAttempt + 1
+	if !w.Place(t.ID(), attempt, need) {
+		return
+	}
+	c.nextAttempt = attempt
+	t.Job().Place(t, w.Name(), attempt, now)
+	c.use(t.Job(), need)
+	c.touch(t.Job())
+}
+
+// rejectedGroups returns the all-at-once jobs whose placements do not all fit; none of their tasks is placed.
+func (c *Cell) rejectedGroups(placements []*wire.Placement) map[string]bool {
+	rejected := map[string]bool{}
+	free := map[string]resource.Vector{}
+	placed := map[string]int{}
+	for _, p := range placements {
+		t, w := c.Task(p.GetTask()), c.workers[p.GetWorker()]
+		if t == nil {
+			continue
+		}
+		id := t.Job().ID()
+		if w == nil || !w.Usable() || !t.Waiting() {
+			rejected[id] = t.Job().Spec().GetKind() == wire.JobKind_JOB_KIND_ALL_AT_ONCE
+			continue
+		}
+		left, ok := free[w.Name()]
+		if !ok {
+			left = w.Free()
+		}
+		if !t.Job().Need().FitsIn(left) {
+			rejected[id] = t.Job().Spec().GetKind() == wire.JobKind_JOB_KIND_ALL_AT_ONCE
+			continue
+		}
+		free[w.Name()] = left.Sub(t.Job().Need())
+		placed[id]++
+	}
+	for id, count := range placed {
+		j := c.jobs[id]
+		if j.Spec().GetKind() == wire.JobKind_JOB_KIND_ALL_AT_ONCE && count != int(j.Spec().GetTasks()) {
+			rejected[id] = true
+		}
+	}
+	return rejected
+}
+
+func (c *Cell) use(j *job.Job, need resource.Vector) {
+	team := j.Spec().GetTeam()
+	if sum := c.usage[team].Add(need); sum.IsZero() {
+		delete(c.usage, team)
+	} else {
+		c.usage[team] = sum
+	}
+}
+
+func (c *Cell) workerEvent(event *wire.WorkerEvent, now int64) {
+	switch body := event.GetBody().(type) {
+	case *wire.WorkerEvent_Seen:
+		c.workerSeen(event.GetWorker(), body.Seen, now)
+	case *wire.WorkerEvent_Lost:
+		if w := c.workers[event.GetWorker()]; w != nil && w.Boot() == body.Lost.GetBoot() {
+			w.MarkLost(now)
+			c.endAll(w, "the worker's lease ran out", now)
+		}
+	case *wire.WorkerEvent_Task:
+		c.taskStatus(event.GetWorker(), body.Task, now)
+	}
+}
+
+func (c *Cell) workerSeen(name string, seen *wire.WorkerSeen, now int64) {
+	w := c.workers[name]
+	if w == nil {
+		if len(c.workers) >= MaxWorkers {
+			return
+		}
+		c.workers[name] = worker.New(name, seen, now)
+		return
+	}
+	if w.Boot() != seen.GetBoot() {
+		c.endAll(w, "the worker restarted", now)
+	}
+	w.Register(seen, now)
+}
+
+func (c *Cell) endAll(w *worker.Worker, detail string, now int64) {
+	ids := make([]string, 0, len(w.Tasks()))
+	for id := range w.Tasks() {
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		c.end(c.Task(id), w, job.End{Phase: wire.TaskPhase_TASK_PHASE_STOPPED, Detail: detail, Lost: true}, now)
+	}
+}
+
+func (c *Cell) taskStatus(workerName string, status *wire.TaskStatus, now int64) {
+	t, w := c.Task(status.GetTask()), c.workers[workerName]
+	if t == nil || w == nil || !t.Active() || t.Worker() != workerName || t.Attempt() != status.GetAttempt() {
+		return
+	}
+	if status.GetPhase() == wire.TaskPhase_TASK_PHASE_RUNNING {
+		t.Job().Started(t, now)
+		return
+	}
+	c.end(t, w, job.End{Phase: status.GetPhase(), Detail: status.GetDetail()}, now)
+}
+
+func (c *Cell) end(t *job.Task, w *worker.Worker, end job.End, now int64) {
+	j := t.Job()
+	w.Release(t.ID(), t.Placed())
+	c.use(j, resource.Vector{}.Sub(t.Placed()))
+	j.Ended(t, end, now)
+	c.touch(j)
+}
+
+// Task returns a task by its id; nil when there is none.
+func (c *Cell) Task(id string) *job.Task {
+	jobID, index, ok := splitTaskID(id)
+	if !ok {
+		return nil
+	}
+	j := c.jobs[jobID]
+	if j == nil || index >= len(j.Tasks()) {
+		return nil
+	}
+	return j.Tasks()[index]
+}
--- /dev/null
+++ b/controld/internal/cell/sheet.go
@@ -0,0 +1,182 @@
+package cell
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/controld/internal/job"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// Preview says what a sheet would do if it were applied now.
+type Preview struct {
+	// Start, Change and Stop list job ids in order.
+	Start  []string `json:"start"`
+	Change []string `json:"change"`
+	Stop   []string `json:"stop"`
+	// AlreadyRun lists runs that have finished and will not run again.
+	AlreadyRun []string `json:"already_run"`
+	// StoppedTasks counts the active tasks that would stop.
+	StoppedTasks int `json:"stopped_tasks"`
+	// ActiveTasks counts all tasks that may be running now.
+	ActiveTasks int `json:"active_tasks"`
+}
+
+// NeedsConfirmation reports whether the sheet stops so much that it may be a cut-off export.
+func (p *Preview) NeedsConfirmation() bool {
+	return p.StoppedTasks*100 > p.ActiveTasks*MaxStopPercent
+}
+
+// Preview compares a sheet with what is in force.
+func (c *Cell) Preview(specs []*wire.JobSpec) *Preview {
+	p := &Preview{}
+	listed := make(map[string]bool, len(specs))
+	for _, spec := range specs {
+		id := job.ID(spec)
+		listed[id] = true
+		j := c.jobs[id]
+		switch {
+		case j == nil && c.ranBefore(id):
+			p.AlreadyRun = append(p.AlreadyRun, id)
+		case j == nil:
+			p.Start = append(p.Start, id)
+		case j.Finished() && spec.GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced():
+			p.AlreadyRun = append(p.AlreadyRun, id)
+		case j.Removed() || !proto.Equal(j.Spec(), spec):
+			p.Change = append(p.Change, id)
+			p.StoppedTasks += surplus(j, spec)
+		}
+	}
+	for id, j := range c.jobs {
+		p.ActiveTasks += j.Active()
+		if listed[id] || j.Removed() || j.Finished() {
+			continue
+		}
+		p.Stop = append(p.Stop, id)
+		if j.Spec().GetKind() == wire.JobKind_JOB_KIND_SERVICE {
+			p.StoppedTasks += j.Active()
+		}
+	}
+	sort.Strings(p.Stop)
+	return p
+}
+
+// surplus counts the active tasks that a changed row no longer asks for.
+func surplus(j *job.Job, spec *wire.JobSpec) int {
+	count := 0
+	for _, t := range j.Tasks() {
+		if t.Active() && t.Index() >= spec.GetTasks() {
+			count++
+		}
+	}
+	return count
+}
+
+func (c *Cell) ranBefore(id string) bool {
+	_, ok := c.finished[hashRun(id)]
+	return ok
+}
+
+// CheckSheet returns why a sheet cannot be applied now; nil when it can. same is true when it is in force already.
+func (c *Cell) CheckSheet(number uint64, digest []byte) (same bool, refusal *wire.Result) {
+	switch {
+	case number < c.sheetNumber:
+		return false, refuse(reason.SheetOlder, "sheet %d is in force, which is newer than %d", c.sheetNumber, number)
+	case number > c.sheetNumber:
+		return false, nil
+	case bytes.Equal(digest, c.sheetDigest):
+		return true, nil
+	default:
+		return false, refuse(reason.SheetReused, "sheet %d is in force with another content", number)
+	}
+}
+
+func (c *Cell) applySheet(s *wire.ApplySheet, now int64) *wire.Result {
+	same, refusal := c.CheckSheet(s.GetNumber(), s.GetDigest())
+	if refusal != nil {
+		return refusal
+	}
+	if same {
+		return &wire.Result{Detail: fmt.Sprintf("sheet %d was already in force", s.GetNumber())}
+	}
+	preview := c.Preview(s.GetJobs())
+	if preview.NeedsConfirmation() && int(s.GetConfirmedStops()) != preview.StoppedTasks {
+		return refuse(reason.StopsUnconfirmed, "the sheet stops %d of %d active tasks; confirm that number",
+			preview.StoppedTasks, preview.ActiveTasks)
+	}
+	if limit := c.checkLimits(s.GetJobs(), preview); limit != nil {
+		return limit
+	}
+	c.replaceJobs(s.GetJobs(), preview, now)
+	c.sheetNumber, c.sheetDigest = s.GetNumber(), s.GetDigest()
+	return &wire.Result{Detail: fmt.Sprintf("sheet %d: %d started, %d changed, %d removed, %d already run",
+		s.GetNumber(), len(preview.Start), len(preview.Change), len(preview.Stop), len(preview.AlreadyRun))}
+}
+
+// checkLimits counts what the cell would hold while removed jobs still drain.
+func (c *Cell) checkLimits(specs []*wire.JobSpec, preview *Preview) *wire.Result {
+	tasks := 0
+	for _, spec := range specs {
+		tasks += int(spec.GetTasks())
+	}
+	if tasks+preview.StoppedTasks > MaxTasks {
+		return refuse(reason.LimitReached, "at most %d tasks, with those that still drain", MaxTasks)
+	}
+	if len(specs)+len(preview.Stop) > MaxJobs {
+		return refuse(reason.LimitReached, "at most %d jobs, with those that still drain", MaxJobs)
+	}
+	return nil
+}
+
+func (c *Cell) replaceJobs(specs []*wire.JobSpec, preview *Preview, now int64) {
+	listed := make(map[string]bool, len(specs))
+	for _, spec := range specs {
+		id := job.ID(spec)
+		listed[id] = true
+		j := c.jobs[id]
+		switch {
+		case j == nil && c.ranBefore(id):
+			// Listed again: the run is remembered from this day on.
+			c.finished[hashRun(id)] = now / dayMs
+			continue
+		case j == nil:
+			c.nextOrder++
+			j = job.New(spec, c.nextOrder, now)
+			c.jobs[id] = j
+		case j.Finished() && spec.GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced():
+			continue
+		default:
+			j.Update(spec, now)
+		}
+		c.touch(j)
+	}
+	for _, id := range preview.Stop {
+		j := c.jobs[id]
+		j.Remove(now)
+		c.touch(j)
+	}
+	c.forget(listed, now)
+}
+
+// forget drops jobs that have ended and left the sheet. Runs leave a mark, so that they do not start again.
+func (c *Cell) forget(listed map[string]bool, now int64) {
+	for id, j := range c.jobs {
+		if listed[id] || !j.Finished() {
+			continue
+		}
+		if j.Spec().GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced() {
+			c.finished[hashRun(id)] = now / dayMs
+		}
+		delete(c.jobs, id)
+		delete(c.waiting, id)
+	}
+	for hash, day := range c.finished {
+		if now/dayMs-day > FinishedRunDays {
+			delete(c.finished, hash)
+		}
+	}
+}
--- /dev/null
+++ b/controld/internal/cell/snapshot.go
@@ -0,0 +1,83 @@
+package cell
+
+import (
+	"fmt"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/controld/internal/change"
+	"flamingodrift.example/controld/internal/claim"
+	"flamingodrift.example/controld/internal/job"
+	"flamingodrift.example/controld/internal/worker"
+	"flamingodrift.example/core/wire"
+)
+
+// Snapshot encodes the whole cell.
+func (c *Cell) Snapshot() ([]byte, error) {
+	state := &wire.CellState{
+		Revision: c.revision, Config: c.config, SheetNumber: c.sheetNumber, SheetDigest: c.sheetDigest,
+		Claims: c.claims.State(), Changes: c.changes.State(), History: c.history,
+		NextAttempt: c.nextAttempt, NextOrder: c.nextOrder,
+	}
+	for _, j := range c.jobs {
+		state.Jobs = append(state.Jobs, j.Record())
+	}
+	sort.Slice(state.Jobs, func(a, b int) bool { return state.Jobs[a].GetOrder() < state.Jobs[b].GetOrder() })
+	for _, w := range c.workers {
+		state.Workers = append(state.Workers, w.State())
+	}
+	sort.Slice(state.Workers, func(a, b int) bool {
+		return state.Workers[a].GetWorker() < state.Workers[b].GetWorker()
+	})
+	for hash, day := range c.finished {
+		state.FinishedRuns = append(state.FinishedRuns, &wire.FinishedRun{IdHash: append([]byte(nil), hash[:]...), Day: day})
+	}
+	sort.Slice(state.FinishedRuns, func(a, b int) bool {
+		return string(state.FinishedRuns[a].GetIdHash()) < string(state.FinishedRuns[b].GetIdHash())
+	})
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		return nil, fmt.Errorf("encode cell: %w", err)
+	}
+	return data, nil
+}
+
+// Restore decodes a cell from a snapshot.
+func Restore(data []byte) (*Cell, error) {
+	state := &wire.CellState{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return nil, fmt.Errorf("decode cell: %w", err)
+	}
+	c := New()
+	c.revision, c.config = state.GetRevision(), state.GetConfig()
+	c.sheetNumber, c.sheetDigest = state.GetSheetNumber(), state.GetSheetDigest()
+	c.claims, c.changes = claim.Restore(state.GetClaims()), change.Restore(state.GetChanges())
+	c.history = state.GetHistory()
+	c.nextAttempt, c.nextOrder = state.GetNextAttempt(), state.GetNextOrder()
+	for _, s := range state.GetWorkers() {
+		c.workers[s.GetWorker()] = worker.Restore(s)
+	}
+	for _, s := range state.GetJobs() {
+		c.restoreJob(s)
+	}
+	for _, run := range state.GetFinishedRuns() {
+		c.finished[runHash(run.GetIdHash())] = run.GetDay()
+	}
+	return c, nil
+}
+
+func (c *Cell) restoreJob(s *wire.JobState) {
+	j := job.Restore(s)
+	c.jobs[j.ID()] = j
+	c.touch(j)
+	for _, t := range j.Tasks() {
+		if !t.Active() {
+			continue
+		}
+		if w := c.workers[t.Worker()]; w != nil {
+			w.Adopt(t.ID(), t.Attempt(), t.Placed())
+		}
+		c.use(j, t.Placed())
+	}
+}
--- /dev/null
+++ b/controld/internal/controller/membership.go
@@ -0,0 +1,205 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+const (
+	joinInterval = time.Second
+	joinTimeout  = 900 * time.Millisecond
+	// nameSilence is how long a member must be silent before another data folder may take its name.
+	nameSilence = 10 * time.Second
+	// promoteLag is how many entries a non-voter may lag behind when it becomes a voter.
+	promoteLag = 16
+)
+
+func (c *Controller) handlePeer(message *wire.PeerMessage, now time.Duration) {
+	if message.GetTo() != c.repl.ID() || now < c.blockedTill {
+		return
+	}
+	c.repl.Step(now, message)
+}
+
+func (c *Controller) sendAll(messages []*wire.PeerMessage) {
+	for _, message := range messages {
+		if address := c.memberAddress(message.GetTo()); address != "" {
+			c.cfg.Messenger.Cast(address, &wire.Request{Body: &wire.Request_Peer{Peer: message}})
+		}
+	}
+}
+
+func (c *Controller) findMember(id string) *wire.Member {
+	for _, m := range c.repl.Membership().GetMembers() {
+		if m.GetId() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *Controller) memberAddress(id string) string {
+	if m := c.findMember(id); m != nil {
+		return m.GetAddress()
+	}
+	return c.addressBook[id]
+}
+
+func (c *Controller) memberName(id string) string { return c.findMember(id).GetName() }
+
+func (c *Controller) isMember() bool { return c.findMember(c.repl.ID()) != nil }
+
+func (c *Controller) learnAddresses(membership *wire.Membership) {
+	for _, m := range membership.GetMembers() {
+		c.addressBook[m.GetId()] = m.GetAddress()
+	}
+}
+
+// seekMembership asks the peers in turn for admission while this node is no member.
+func (c *Controller) seekMembership(now time.Duration) {
+	if c.isMember() || now-c.lastJoin < joinInterval || len(c.cfg.Peers) == 0 {
+		return
+	}
+	c.lastJoin = now
+	address := c.cfg.Peers[c.joinAt%len(c.cfg.Peers)]
+	c.joinAt++
+	member := proto.Clone(c.cfg.Member).(*wire.Member)
+	member.Id = c.repl.ID()
+	go c.requestJoin(address, member)
+}
+
+func (c *Controller) requestJoin(address string, member *wire.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	request := &wire.Request{Body: &wire.Request_Join{Join: &wire.JoinRequest{Member: member}}}
+	reply, err := c.cfg.Messenger.Call(ctx, address, request)
+	if err != nil {
+		return
+	}
+	if refusal := reply.GetRefusal(); refusal != nil {
+		if refusal.GetLeaderAddress() == "" || refusal.GetLeaderAddress() == address {
+			if refusal.GetReason() == reason.NameInUse.String() {
+				logger.JoinRefused.Log(c.cfg.Logger, "reason", refusal.GetReason(), "detail", refusal.GetDetail())
+			}
+			return
+		}
+		if reply, err = c.cfg.Messenger.Call(ctx, refusal.GetLeaderAddress(), request); err != nil {
+			return
+		}
+	}
+	if joined := reply.GetJoin(); joined != nil {
+		select {
+		case c.queue <- joinedEvent{joined.GetMembership()}:
+		default:
+		}
+	}
+}
+
+// handleJoin adds a node as a non-voter. It becomes a voter later, once it has caught up.
+func (c *Controller) handleJoin(e joinEvent, now time.Duration) {
+	accepted := &wire.Reply{Body: &wire.Reply_Join{Join: &wire.JoinReply{Membership: c.repl.Membership()}}}
+	if c.findMember(e.member.GetId()) != nil {
+		e.reply(accepted)
+		return
+	}
+	for _, m := range c.repl.Membership().GetMembers() {
+		if m.GetName() == e.member.GetName() && c.recentlyHeard(m.GetId(), now) {
+			e.reply(refused(&wire.Refusal{
+				Reason: reason.NameInUse.String(), Detail: "member " + m.GetName() + " is alive with another data folder",
+			}))
+			return
+		}
+	}
+	next := proto.Clone(c.repl.Membership()).(*wire.Membership)
+	member := proto.Clone(e.member).(*wire.Member)
+	member.Voter = false
+	next.Members = append(next.Members, member)
+	if _, _, err := c.repl.ProposeMembership(now, next); err != nil {
+		e.reply(refused(&wire.Refusal{Reason: reason.Conflict.String(), Detail: err.Error()}))
+		return
+	}
+	e.reply(accepted)
+}
+
+func (c *Controller) recentlyHeard(id string, now time.Duration) bool {
+	if id == c.repl.ID() {
+		return true
+	}
+	_, ackedSend, acked := c.repl.MatchIndex(id)
+	if !acked {
+		ackedSend = c.seenAlive[id]
+	}
+	return now-ackedSend < nameSilence
+}
+
+// adjustMembership removes members whose name was taken over by a newer data folder, and promotes non-voters that have
+// caught up, one step at a time.
+func (c *Controller) adjustMembership(now time.Duration) {
+	members := c.repl.Membership().GetMembers()
+	voters := 0
+	for _, m := range members {
+		if m.GetVoter() {
+			voters++
+		}
+	}
+	for i, m := range members {
+		if m.GetVoter() || !c.caughtUp(m.GetId()) {
+			continue
+		}
+		if old := olderHolder(members[:i], m.GetName()); old != nil {
+			c.proposeMembers(now, without(members, old.GetId()))
+			return
+		}
+		if voters < c.cfg.Voters {
+			c.proposeMembers(now, promoted(members, m.GetId()))
+			return
+		}
+	}
+}
+
+func (c *Controller) caughtUp(id string) bool {
+	match, _, acked := c.repl.MatchIndex(id)
+	return acked && match > 0 && match+promoteLag >= c.repl.LastIndex()
+}
+
+func olderHolder(members []*wire.Member, name string) *wire.Member {
+	for _, m := range members {
+		if m.GetName() == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func without(members []*wire.Member, id string) *wire.Membership {
+	next := &wire.Membership{}
+	for _, m := range members {
+		if m.GetId() != id {
+			next.Members = append(next.Members, m)
+		}
+	}
+	return next
+}
+
+func promoted(members []*wire.Member, id string) *wire.Membership {
+	next := &wire.Membership{}
+	for _, m := range members {
+		m = proto.Clone(m).(*wire.Member)
+		if m.GetId() == id {
+			m.Voter = true
+		}
+		next.Members = append(next.Members, m)
+	}
+	return next
+}
+
+func (c *Controller) proposeMembers(now time.Duration, next *wire.Membership) {
+	// An error means that an earlier change is not committed yet; the next turn tries again.
+	_, _, _ = c.repl.ProposeMembership(now, next)
+}
--- /dev/null
+++ b/controld/internal/controller/reports.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/controld/internal/job"
+	"flamingodrift.example/controld/internal/resource"
+	"flamingodrift.example/controld/internal/worker"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// handleReports renews worker leases, notes what changed, and hands out orders for committed decisions.
+func (c *Controller) handleReports(e reportsEvent, now time.Duration) {
+	reply := &wire.WorkerOrders{}
+	for _, report := range e.reports.GetReports() {
+		reply.Workers = append(reply.Workers, c.handleReport(report, now))
+	}
+	e.reply(&wire.Reply{Body: &wire.Reply_WorkerOrders{WorkerOrders: reply}})
+}
+
+func (c *Controller) handleReport(report *wire.WorkerReport, now time.Duration) *wire.WorkerOrder {
+	order := &wire.WorkerOrder{Worker: report.GetWorker(), Poll: report.GetPoll()}
+	w := c.cell.Worker(report.GetWorker())
+	if w != nil && w.Lost() && w.Boot() == report.GetBoot() {
+		order.Refused = reason.LeaseEnded.String()
+		return order
+	}
+	result := c.reg.Poll(report, now)
+	if result.Refused {
+		logger.PollRefused.Log(c.cfg.Logger, "worker", report.GetWorker(), "poll", report.GetPoll())
+		c.cfg.Meter.Refused(reason.StalePoll)
+		order.Refused = reason.StalePoll.String()
+		return order
+	}
+	order.LeaseMs = uint32(c.reg.WorkerLease().Milliseconds())
+	order.Session = c.reg.Session()
+	if !registered(w, report) {
+		c.note(&wire.WorkerEvent{Worker: report.GetWorker(), Body: &wire.WorkerEvent_Seen{Seen: &wire.WorkerSeen{
+			Boot: report.GetBoot(), Capacity: report.GetCapacity(), Rack: report.GetRack(),
+			FailureDomain: report.GetFailureDomain(),
+		}}})
+		return order
+	}
+	order.Orders = c.ordersFor(w, report, result.Confirmed)
+	return order
+}
+
+func registered(w *worker.Worker, report *wire.WorkerReport) bool {
+	return w != nil && !w.Lost() && w.Boot() == report.GetBoot() && w.Rack() == report.GetRack() &&
+		w.FailureDomain() == report.GetFailureDomain() && proto.Equal(w.Capacity().Message(), withZeros(report.GetCapacity()))
+}
+
+func withZeros(r *wire.Resources) *wire.Resources { return resource.New(r).Message() }
+
+// note queues a worker event for the log, unless the same one is on its way.
+func (c *Controller) note(event *wire.WorkerEvent) {
+	mark := eventMark(event)
+	if c.pending[mark] {
+		return
+	}
+	c.pending[mark] = true
+	c.workerBatch = append(c.workerBatch, event)
+}
+
+func eventMark(event *wire.WorkerEvent) string {
+	switch body := event.GetBody().(type) {
+	case *wire.WorkerEvent_Seen:
+		return "seen " + event.GetWorker() + " " + body.Seen.GetBoot()
+	case *wire.WorkerEvent_Task:
+		return fmt.Sprintf("task %s %d %d", body.Task.GetTask(), body.Task.GetAttempt(), body.Task.GetPhase())
+	default:
+		return "lost " + event.GetWorker()
+	}
+}
+
+// ordersFor compares what the worker holds with what the cell has placed there.
+func (c *Controller) ordersFor(w *worker.Worker, report *wire.WorkerReport, confirmed bool) []*wire.Order {
+	var orders []*wire.Order
+	listed := make(map[string]bool, len(report.GetTasks()))
+	for _, status := range report.GetTasks() {
+		listed[status.GetTask()] = true
+		if order := c.orderForListed(w, status); order != nil {
+			orders = append(orders, order)
+		}
+	}
+	for id, attempt := range w.Tasks() {
+		if listed[id] {
+			continue
+		}
+		t := c.cell.Task(id)
+		switch {
+		case !t.Stopping() && t.State() == wire.TaskState_TASK_STATE_PLACED:
+			orders = append(orders, startOrder(t))
+		case confirmed:
+			// The worker received an answer of this leader and still does not hold the task, so it never will.
+			c.noteEnd(w, id, attempt, wire.TaskPhase_TASK_PHASE_STOPPED, "the worker does not hold the task")
+		}
+	}
+	return orders
+}
+
+func (c *Controller) noteEnd(w *worker.Worker, task string, attempt uint64, phase wire.TaskPhase, detail string) {
+	c.note(&wire.WorkerEvent{Worker: w.Name(), Body: &wire.WorkerEvent_Task{Task: &wire.TaskStatus{
+		Task: task, Attempt: attempt, Phase: phase, Detail: detail,
+	}}})
+}
+
+func (c *Controller) orderForListed(w *worker.Worker, status *wire.TaskStatus) *wire.Order {
+	current, held := w.Tasks()[status.GetTask()]
+	ended := status.GetPhase() != wire.TaskPhase_TASK_PHASE_RUNNING
+	if !held || current != status.GetAttempt() {
+		kind := wire.OrderKind_ORDER_KIND_STOP
+		if ended {
+			kind = wire.OrderKind_ORDER_KIND_FORGET
+		}
+		return &wire.Order{Kind: kind, Task: status.GetTask(), Attempt: status.GetAttempt()}
+	}
+	t := c.cell.Task(status.GetTask())
+	switch {
+	case ended:
+		c.noteEnd(w, status.GetTask(), status.GetAttempt(), status.GetPhase(), status.GetDetail())
+	case t.Stopping():
+		return &wire.Order{Kind: wire.OrderKind_ORDER_KIND_STOP, Task: t.ID(), Attempt: t.Attempt()}
+	case t.State() == wire.TaskState_TASK_STATE_PLACED:
+		c.note(&wire.WorkerEvent{Worker: w.Name(), Body: &wire.WorkerEvent_Task{Task: &wire.TaskStatus{
+			Task: t.ID(), Attempt: t.Attempt(), Phase: wire.TaskPhase_TASK_PHASE_RUNNING,
+		}}})
+	}
+	return nil
+}
+
+func startOrder(t *job.Task) *wire.Order {
+	order := &wire.Order{
+		Kind: wire.OrderKind_ORDER_KIND_START, Task: t.ID(), Attempt: t.Attempt(),
+		Resources: t.Placed().Message(), Command: t.Job().Spec().GetCommand(),
+	}
+	if t.Job().Spec().GetKind() == wire.JobKind_JOB_KIND_SERVICE {
+		order.Service = t.Job().Spec().GetKey()
+	}
+	return order
+}
--- /dev/null
+++ b/controld/internal/registrar/registrar.go
@@ -0,0 +1,138 @@
+// Package registrar holds the leases that only the leader knows: those of workers, of entry processes, and the ownership
+// of targets. Nothing in it is durable; a new leader waits until every lease that an earlier one may have granted has
+// run out.
+package registrar
+
+import (
+	"time"
+
+	"flamingodrift.example/core/wire"
+)
+
+// Config holds the lease terms.
+type Config struct {
+	// WorkerLease is how long a worker may run its tasks after it sent a poll.
+	WorkerLease time.Duration
+	// PollTimeout is how long a worker waits for the reply to a poll.
+	PollTimeout time.Duration
+	// EntryLease is how long an entry process may use its targets after it sent a beat.
+	EntryLease time.Duration
+	// TargetSilence is how long a target may be silent.
+	TargetSilence time.Duration
+	// DriftPercent bounds how much slower another host's clock may run than this one's.
+	DriftPercent int
+}
+
+// Registrar is owned by the control thread of the leader.
+type Registrar struct {
+	cfg     Config
+	term    uint64
+	workers map[string]*workerLease
+	entries map[string]*entry
+	targets map[string]*target
+	epoch   uint64
+	// assignableAt is when leases of entry processes that an earlier leader granted have run out.
+	assignableAt time.Duration
+}
+
+type workerLease struct {
+	boot    string
+	poll    uint64
+	until   time.Duration
+	over    bool
+	session bool
+}
+
+// New returns the Registrar of a leader that was elected at now. workers maps the workers that are not lost to their
+// boot; holders are the entry processes with running claims.
+func New(cfg Config, term uint64, workers map[string]string, holders []Holder, now time.Duration) *Registrar {
+	r := &Registrar{
+		cfg: cfg, term: term,
+		workers:      map[string]*workerLease{},
+		entries:      map[string]*entry{},
+		targets:      map[string]*target{},
+		assignableAt: now + cfg.withDrift(cfg.EntryLease),
+	}
+	for name, boot := range workers {
+		r.workers[name] = &workerLease{boot: boot, until: now + r.workerTerm()}
+	}
+	for _, h := range holders {
+		r.entries[h.Entry+"\x00"+h.Boot] = &entry{
+			name: h.Entry, boot: h.Boot, until: r.assignableAt, placeholder: true,
+		}
+	}
+	return r
+}
+
+func (c Config) withDrift(d time.Duration) time.Duration {
+	return d + d*time.Duration(c.DriftPercent)/100
+}
+
+// workerTerm is how long after the leader answered a poll the worker may still run tasks: the lease counts from the
+// sending of the poll, but a reply may reach the worker up to a poll timeout after the leader's answer.
+func (r *Registrar) workerTerm() time.Duration {
+	return r.cfg.withDrift(r.cfg.WorkerLease + r.cfg.PollTimeout)
+}
+
+// PollResult says how a worker's poll is answered.
+type PollResult struct {
+	// Refused is set when the poll is stale or the lease of this boot is over.
+	Refused bool
+	// Confirmed is true when the poll was sent after the worker received a reply of this leader. Only then does the
+	// absence of a task in the poll prove that its start order was not received.
+	Confirmed bool
+}
+
+// Poll renews a worker's lease.
+func (r *Registrar) Poll(report *wire.WorkerReport, now time.Duration) PollResult {
+	lease := r.workers[report.GetWorker()]
+	if lease == nil || lease.boot != report.GetBoot() {
+		if lease != nil && lease.isFormer(report.GetBoot()) {
+			return PollResult{Refused: true}
+		}
+		lease = &workerLease{boot: report.GetBoot()}
+		r.workers[report.GetWorker()] = lease
+	} else if lease.over || report.GetPoll() <= lease.poll {
+		return PollResult{Refused: true}
+	}
+	lease.poll = report.GetPoll()
+	lease.until = now + r.workerTerm()
+	return PollResult{Confirmed: report.GetSession() == r.term}
+}
+
+// isFormer reports whether a boot id is older than the one seen last. Boot ids carry the start time as a sortable
+// prefix, so a delayed poll of an earlier boot cannot displace the present one.
+func (l *workerLease) isFormer(boot string) bool { return boot < l.boot }
+
+// LostWorker is a worker whose lease has surely run out.
+type LostWorker struct {
+	Worker, Boot string
+}
+
+// ExpireWorkers returns the workers whose leases have run out since the last call. Their present boot is refused from
+// now on.
+func (r *Registrar) ExpireWorkers(now time.Duration) []LostWorker {
+	var lost []LostWorker
+	for name, lease := range r.workers {
+		if !lease.over && now >= lease.until {
+			lease.over = true
+			lost = append(lost, LostWorker{Worker: name, Boot: lease.boot})
+		}
+	}
+	return lost
+}
+
+// WorkerUntil returns when a worker's lease runs out unless it polls again.
+func (r *Registrar) WorkerUntil(name string) (time.Duration, bool) {
+	lease := r.workers[name]
+	if lease == nil {
+		return 0, false
+	}
+	return lease.until, true
+}
+
+// Session identifies this leader towards workers.
+func (r *Registrar) Session() uint64 { return r.term }
+
+// WorkerLease returns the lease that is granted with an answer to a poll.
+func (r *Registrar) WorkerLease() time.Duration { return r.cfg.WorkerLease }
--- /dev/null
+++ b/controld/internal/worker/worker.go
@@ -0,0 +1,138 @@
+// Package worker is the aggregate of one worker: its capacity and everything that may still run there.
+package worker
+
+import (
+	"flamingodrift.example/controld/internal/resource"
+	"flamingodrift.example/core/wire"
+)
+
+// Worker counts what is placed on one worker. It is owned by the thread that applies the log.
+type Worker struct {
+	name          string
+	boot          string
+	capacity      resource.Vector
+	used          resource.Vector
+	rack          string
+	failureDomain string
+	lost          bool
+	draining      bool
+	held          bool
+	holdReason    string
+	sinceUnixMs   int64
+	tasks         map[string]uint64
+}
+
+// New returns a worker that was just seen.
+func New(name string, seen *wire.WorkerSeen, nowUnixMs int64) *Worker {
+	w := &Worker{name: name, tasks: map[string]uint64{}}
+	w.Register(seen, nowUnixMs)
+	return w
+}
+
+// Restore returns a worker from a snapshot, without its tasks: the jobs place them again.
+func Restore(s *wire.WorkerState) *Worker {
+	return &Worker{
+		name: s.GetWorker(), boot: s.GetBoot(), capacity: resource.New(s.GetCapacity()), rack: s.GetRack(),
+		failureDomain: s.GetFailureDomain(), lost: s.GetLost(), draining: s.GetDraining(), held: s.GetHeld(),
+		holdReason: s.GetHoldReason(), sinceUnixMs: s.GetSinceUnixMs(), tasks: map[string]uint64{},
+	}
+}
+
+// State returns the worker for a snapshot.
+func (w *Worker) State() *wire.WorkerState {
+	return &wire.WorkerState{
+		Worker: w.name, Boot: w.boot, Capacity: w.capacity.Message(), Rack: w.rack, FailureDomain: w.failureDomain,
+		Lost: w.lost, Draining: w.draining, Held: w.held, HoldReason: w.holdReason, SinceUnixMs: w.sinceUnixMs,
+	}
+}
+
+// Register takes over what the worker says of itself.
+func (w *Worker) Register(seen *wire.WorkerSeen, nowUnixMs int64) {
+	if w.boot != seen.GetBoot() || w.lost {
+		w.sinceUnixMs = nowUnixMs
+	}
+	w.boot, w.lost = seen.GetBoot(), false
+	w.capacity = resource.New(seen.GetCapacity())
+	w.rack, w.failureDomain = seen.GetRack(), seen.GetFailureDomain()
+}
+
+// MarkLost records that the lease has surely run out.
+func (w *Worker) MarkLost(nowUnixMs int64) {
+	w.lost, w.sinceUnixMs = true, nowUnixMs
+}
+
+// SetDraining says whether the worker gets no new tasks by an operator's wish.
+func (w *Worker) SetDraining(draining bool) { w.draining = draining }
+
+// SetHeld says whether the worker is set aside because tasks fail there.
+func (w *Worker) SetHeld(held bool, reason string) { w.held, w.holdReason = held, reason }
+
+// Place reserves room for an attempt. It returns false when the worker cannot take it.
+func (w *Worker) Place(task string, attempt uint64, need resource.Vector) bool {
+	if _, ok := w.tasks[task]; ok || w.lost || !need.FitsIn(w.Free()) {
+		return false
+	}
+	w.adopt(task, attempt, need)
+	return true
+}
+
+// Adopt counts an attempt from a snapshot, whatever the present capacity is.
+func (w *Worker) Adopt(task string, attempt uint64, need resource.Vector) {
+	w.adopt(task, attempt, need)
+}
+
+func (w *Worker) adopt(task string, attempt uint64, need resource.Vector) {
+	w.tasks[task] = attempt
+	w.used = w.used.Add(need)
+}
+
+// Release gives the room of an ended attempt back.
+func (w *Worker) Release(task string, need resource.Vector) {
+	if _, ok := w.tasks[task]; !ok {
+		return
+	}
+	delete(w.tasks, task)
+	w.used = w.used.Sub(need)
+}
+
+// Name returns the worker's name.
+func (w *Worker) Name() string { return w.name }
+
+// Boot returns the identity of the worker's present start.
+func (w *Worker) Boot() string { return w.boot }
+
+// Capacity returns what the worker has.
+func (w *Worker) Capacity() resource.Vector { return w.capacity }
+
+// Used returns what is reserved for everything that may still run on the worker.
+func (w *Worker) Used() resource.Vector { return w.used }
+
+// Free returns what is left; negative when the capacity shrank.
+func (w *Worker) Free() resource.Vector { return w.capacity.Sub(w.used) }
+
+// Rack returns the worker's rack.
+func (w *Worker) Rack() string { return w.rack }
+
+// FailureDomain returns the worker's failure domain.
+func (w *Worker) FailureDomain() string { return w.failureDomain }
+
+// Lost reports whether the worker's lease ran out.
+func (w *Worker) Lost() bool { return w.lost }
+
+// Draining reports whether an operator drains the worker.
+func (w *Worker) Draining() bool { return w.draining }
+
+// Held reports whether the worker is set aside.
+func (w *Worker) Held() bool { return w.held }
+
+// HoldReason says why the worker is set aside.
+func (w *Worker) HoldReason() string { return w.holdReason }
+
+// SinceUnixMs returns the wall-clock time of the last registration or loss, for people.
+func (w *Worker) SinceUnixMs() int64 { return w.sinceUnixMs }
+
+// Usable reports whether new tasks may be placed.
+func (w *Worker) Usable() bool { return !w.lost && !w.draining && !w.held }
+
+// Tasks returns the attempt of each task that may still run on the worker. The map must not be changed.
+func (w *Worker) Tasks() map[string]uint64 { return w.tasks }
--- /dev/null
+++ b/controld/main.go
@@ -0,0 +1,179 @@
+// Command controld keeps the replicated control state of a cell and decides where work runs.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/samber/oops"
+
+	"flamingodrift.example/controld/internal/controller"
+	"flamingodrift.example/controld/internal/planner"
+	"flamingodrift.example/controld/internal/registrar"
+	"flamingodrift.example/controld/internal/server"
+	"flamingodrift.example/controld/internal/settings"
+	"flamingodrift.example/controld/internal/store"
+	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/wire"
+)
+
+const (
+	// driftPercent bounds the difference in speed of two hosts' clocks.
+	driftPercent = 1
+	stopTimeout  = 5 * time.Second
+)
+
+type arguments struct {
+	Settings  string `arg:"--settings,required" help:"settings file, JSON with comments" placeholder:"FILE"`
+	Check     bool   `arg:"--check" help:"check the settings file and exit"`
+	Bootstrap bool   `arg:"--bootstrap" help:"make the data folder of the first node of a new cell and exit"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "controld keeps the replicated control state of a cell and decides where work runs."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	cfg := &settings.Settings{}
+	if err := loader.Load(args.Settings, cfg); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if args.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	if args.Bootstrap {
+		if err := store.Bootstrap(cfg.DataFolder, member(cfg)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	log := logger.New(os.Stderr, "controld", cfg.Name)
+	if err := run(cfg); err != nil {
+		logger.Fatal.Log(log, "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func member(cfg *settings.Settings) *wire.Member {
+	return &wire.Member{Name: cfg.Name, Address: cfg.AdvertiseAddress, FailureDomain: cfg.FailureDomain}
+}
+
+// daemon assembles the parts of one process.
+type daemon struct {
+	controller *controller.Controller
+	messenger  *messenger.Messenger
+	listener   net.Listener
+	health     *khttp.Server
+	store      *store.Store
+}
+
+func run(cfg *settings.Settings) error {
+	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	d, err := assemble(cfg)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.store.Close() }()
+	log := logger.New(os.Stderr, "controld", cfg.Name)
+	app := kratos.New(
+		kratos.Name("controld"),
+		kratos.Server(d.health, &service{daemon: d}),
+		kratos.StopTimeout(stopTimeout),
+		kratos.AfterStart(func(context.Context) error {
+			logger.Started.Log(log, "address", cfg.Address, "node_id", d.store.NodeID())
+			return nil
+		}),
+		kratos.BeforeStop(func(context.Context) error {
+			logger.ShutdownStarted.Log(log)
+			return nil
+		}),
+	)
+	if err := app.Run(); err != nil {
+		return oops.In("controld").With("name", cfg.Name).Wrapf(err, "run")
+	}
+	logger.ShutdownFinished.Log(log)
+	return nil
+}
+
+func assemble(cfg *settings.Settings) (*daemon, error) {
+	data, contents, err := store.Open(cfg.DataFolder)
+	if err != nil {
+		return nil, oops.In("store").With("data_folder", cfg.DataFolder).Wrapf(err, "open data folder")
+	}
+	counters, err := meter.New("controld")
+	if err != nil {
+		return nil, err
+	}
+	var srv *server.Server
+	mailer := messenger.New(messenger.Config{
+		Token: cfg.CellToken, LocalAddress: settings.IP(cfg.Address),
+		Handler: func(ctx context.Context, request *wire.Request) *wire.Reply {
+			return srv.Handle(ctx, request)
+		},
+	})
+	ctl, err := controller.New(controller.Config{
+		Member: member(cfg), Peers: cfg.Peers, Voters: cfg.Voters, Store: data, Contents: contents, Clock: clock.New(),
+		Messenger: mailer, Logger: logger.New(os.Stderr, "controld", cfg.Name), Meter: counters,
+		Heartbeat:   settings.Duration(cfg.HeartbeatMs),
+		ElectionMin: settings.Duration(cfg.ElectionMinMs), ElectionMax: settings.Duration(cfg.ElectionMaxMs),
+		Registrar: registrar.Config{
+			WorkerLease: settings.Duration(cfg.WorkerLeaseMs), PollTimeout: settings.Duration(cfg.PollTimeoutMs),
+			EntryLease: settings.Duration(cfg.EntryLeaseMs), TargetSilence: settings.Duration(cfg.TargetSilentMs),
+			DriftPercent: driftPercent,
+		},
+		Planner: planner.Config{},
+	})
+	if err != nil {
+		return nil, err
+	}
+	srv = server.New(ctl)
+	listener, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, oops.In("messenger").With("address", cfg.Address).Wrapf(err, "listen")
+	}
+	health := khttp.NewServer(khttp.Address(cfg.HealthAddress))
+	health.HandlePrefix("/metrics", counters.Handler())
+	health.HandlePrefix("/", srv.Health())
+	return &daemon{controller: ctl, messenger: mailer, listener: listener, health: health, store: data}, nil
+}
+
+// service runs the control thread and the sessions as one kratos server.
+type service struct {
+	daemon *daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Start runs until Stop is called or the control thread fails.
+func (s *service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel, s.done = cancel, make(chan struct{})
+	defer close(s.done)
+	go func() { _ = s.daemon.messenger.Serve(s.daemon.listener) }()
+	return s.daemon.controller.Run(ctx)
+}
+
+// Stop ends the control thread and closes all sessions.
+func (s *service) Stop(context.Context) error {
+	s.cancel()
+	<-s.done
+	s.daemon.messenger.Close()
+	return s.daemon.listener.Close()
+}
--- /dev/null
+++ b/core/journal/file.go
@@ -0,0 +1,83 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// maxFileBytes bounds a file that holds a single message.
+const maxFileBytes = 128 << 20
+
+// WriteFile replaces a file by one that holds a single message. After a crash the file holds either the old or the new
+// content. It returns ErrDiskFull, with the old content in place, when there is no space.
+func WriteFile(path string, msg proto.Message) error {
+	data, err := frame(nil, msg, maxFileBytes)
+	if err != nil {
+		return err
+	}
+	return replaceFile(path, data)
+}
+
+// replaceFile writes data beside the file, syncs it, renames it and syncs the folder.
+func replaceFile(path string, data []byte) error {
+	temporary := path + ".new"
+	if err := writeSynced(temporary, data); err != nil {
+		_ = os.Remove(temporary)
+		if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+			return ErrDiskFull
+		}
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return fmt.Errorf("rename %s: %w", temporary, err)
+	}
+	return SyncDir(filepath.Dir(path))
+}
+
+func writeSynced(path string, data []byte) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("create %s: %w", path, err)
+	}
+	if _, err := f.Write(data); err != nil {
+		_ = f.Close()
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	if err := f.Sync(); err != nil {
+		_ = f.Close()
+		return fmt.Errorf("sync %s: %w", path, err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("close %s: %w", path, err)
+	}
+	return nil
+}
+
+// ReadFile reads a file written by WriteFile into msg. It returns fs.ErrNotExist when there is none and a *DamageError
+// when its content is not whole.
+func ReadFile(path string, msg proto.Message) error {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return fs.ErrNotExist
+	}
+	if err != nil {
+		return fmt.Errorf("read %s: %w", path, err)
+	}
+	payload, detail := parseRecord(data, maxFileBytes)
+	if detail != "" {
+		return &DamageError{File: path, Detail: detail}
+	}
+	if headerBytes+len(payload) != len(data) {
+		return &DamageError{File: path, Offset: int64(headerBytes + len(payload)), Detail: "data after the end"}
+	}
+	if err := proto.Unmarshal(payload, msg); err != nil {
+		return &DamageError{File: path, Offset: headerBytes, Detail: "content does not decode"}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/replicator/election.go
@@ -0,0 +1,171 @@
+package replicator
+
+import (
+	"time"
+
+	"flamingodrift.example/core/wire"
+)
+
+// Tick advances timeouts. The host calls it several times per heartbeat interval.
+func (r *Replicator) Tick(now time.Duration) {
+	if r.role == leader {
+		r.tickLeader(now)
+		return
+	}
+	if now < r.electionDeadline {
+		return
+	}
+	r.resetElection(now)
+	if r.isVoter(r.cfg.ID) {
+		r.startPreVote(now)
+	}
+}
+
+func (r *Replicator) tickLeader(now time.Duration) {
+	acked, ok := r.quorumAck(now)
+	if !ok {
+		acked = r.leaderSince
+	}
+	if now-max(acked, r.leaderSince) > r.cfg.ElectionMax {
+		r.becomeFollower(now, r.term, "")
+		return
+	}
+	if now-r.lastHeartbeat >= r.cfg.Heartbeat {
+		r.heartbeat(now)
+	}
+}
+
+// startPreVote asks whether an election would succeed, without raising the term, so that a node that returns from a
+// partition does not unseat a healthy leader.
+func (r *Replicator) startPreVote(now time.Duration) {
+	r.role = preCandidate
+	r.leader = ""
+	r.votes = map[string]bool{r.cfg.ID: true}
+	r.requestVotes(true, r.term+1)
+	r.countVotes(now)
+}
+
+func (r *Replicator) startElection(now time.Duration) {
+	r.role = candidate
+	r.term++
+	r.vote = r.cfg.ID
+	r.hardStateDirt = true
+	r.votes = map[string]bool{r.cfg.ID: true}
+	r.resetElection(now)
+	r.requestVotes(false, r.term)
+	r.countVotes(now)
+}
+
+func (r *Replicator) requestVotes(pre bool, term uint64) {
+	for _, m := range r.Membership().GetMembers() {
+		if !m.GetVoter() || m.GetId() == r.cfg.ID {
+			continue
+		}
+		request := &wire.VoteRequest{PreVote: pre, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
+		r.send(&wire.PeerMessage{
+			To: m.GetId(), Term: term,
+			Body: &wire.PeerMessage_VoteRequest{VoteRequest: request},
+		})
+	}
+}
+
+func (r *Replicator) countVotes(now time.Duration) {
+	voters, granted := 0, 0
+	for _, m := range r.Membership().GetMembers() {
+		if !m.GetVoter() {
+			continue
+		}
+		voters++
+		if r.votes[m.GetId()] {
+			granted++
+		}
+	}
+	if granted < voters/2+1 {
+		return
+	}
+	if r.role == preCandidate {
+		r.startElection(now)
+	} else {
+		r.becomeLeader(now)
+	}
+}
+
+func (r *Replicator) becomeLeader(now time.Duration) {
+	r.role = leader
+	r.leader = r.cfg.ID
+	r.leaderSince = now
+	r.peers = map[string]*progress{}
+	r.appendNew(wire.EntryKind_ENTRY_KIND_EMPTY, nil)
+	r.termStart = r.log.lastIndex()
+	r.heartbeat(now)
+}
+
+func (r *Replicator) becomeFollower(now time.Duration, term uint64, leaderID string) {
+	if term > r.term {
+		r.term, r.vote = term, ""
+		r.hardStateDirt = true
+	}
+	r.role = follower
+	r.leader = leaderID
+	r.votes = nil
+	r.resetElection(now)
+}
+
+// leaderPromised reports whether this node may not vote, because a leader counts on its answer.
+func (r *Replicator) leaderPromised(now time.Duration) bool {
+	if r.role == leader {
+		return now < r.leaseUntil(now)
+	}
+	return r.heardLeader && now-r.lastHeard < r.cfg.ElectionMin
+}
+
+func (r *Replicator) stepVoteRequest(now time.Duration, msg *wire.PeerMessage, request *wire.VoteRequest) {
+	if r.leaderPromised(now) {
+		// Without an answer a candidate with a higher term cannot raise this node's term either.
+		return
+	}
+	if msg.GetTerm() < r.term {
+		r.answerVote(msg, request, false, r.term)
+		return
+	}
+	current := request.GetLastTerm() > r.log.lastTerm() ||
+		(request.GetLastTerm() == r.log.lastTerm() && request.GetLastIndex() >= r.log.lastIndex())
+	if request.GetPreVote() {
+		r.answerVote(msg, request, current && msg.GetTerm() > r.term, msg.GetTerm())
+		return
+	}
+	if msg.GetTerm() > r.term {
+		r.becomeFollower(now, msg.GetTerm(), "")
+	}
+	granted := current && (r.vote == "" || r.vote == msg.GetFrom()) && r.role == follower
+	if granted && r.vote == "" {
+		r.vote = msg.GetFrom()
+		r.hardStateDirt = true
+		r.resetElection(now)
+	}
+	r.answerVote(msg, request, granted, r.term)
+}
+
+func (r *Replicator) answerVote(msg *wire.PeerMessage, request *wire.VoteRequest, granted bool, term uint64) {
+	reply := &wire.VoteReply{PreVote: request.GetPreVote(), Granted: granted}
+	r.send(&wire.PeerMessage{
+		To: msg.GetFrom(), Term: term,
+		Body: &wire.PeerMessage_VoteReply{VoteReply: reply},
+	})
+}
+
+func (r *Replicator) stepVoteReply(now time.Duration, msg *wire.PeerMessage, reply *wire.VoteReply) {
+	switch {
+	case reply.GetPreVote() && reply.GetGranted():
+		if r.role != preCandidate || msg.GetTerm() != r.term+1 {
+			return
+		}
+	case msg.GetTerm() > r.term:
+		r.becomeFollower(now, msg.GetTerm(), "")
+		return
+	case reply.GetPreVote() || r.role != candidate || msg.GetTerm() != r.term || !reply.GetGranted():
+		return
+	}
+	r.votes[msg.GetFrom()] = true
+	r.countVotes(now)
+}
--- /dev/null
+++ b/entryd/daemon.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"flamingodrift.example/entryd/internal/claimer"
+	"flamingodrift.example/entryd/internal/console"
+	"flamingodrift.example/entryd/internal/dispatcher"
+	"flamingodrift.example/entryd/internal/gateway"
+	"flamingodrift.example/entryd/internal/locator"
+	"flamingodrift.example/entryd/internal/poller"
+	"flamingodrift.example/entryd/internal/retrier"
+	"flamingodrift.example/entryd/internal/roster"
+	"flamingodrift.example/entryd/internal/settings"
+	"flamingodrift.example/entryd/internal/steward"
+
+	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// daemon assembles the parts of one process. It is a kratos server: it runs the sessions and the control thread.
+type daemon struct {
+	messenger  *messenger.Messenger
+	listener   net.Listener
+	http       *khttp.Server
+	steward    *steward.Steward
+	dispatcher *dispatcher.Dispatcher
+	gateway    *gateway.Gateway
+	clock      clock.Clock
+	leaving    atomic.Bool
+	cancel     context.CancelFunc
+	done       chan struct{}
+}
+
+func assemble(cfg *settings.Settings) (*daemon, error) {
+	counters, err := meter.New("entryd")
+	if err != nil {
+		return nil, err
+	}
+	log := logger.New(os.Stderr, "entryd", cfg.Name)
+	d := &daemon{done: make(chan struct{})}
+	d.messenger = messenger.New(messenger.Config{
+		Token: cfg.CellToken, LocalAddress: settings.IP(cfg.Address), Handler: d.handle,
+	})
+	boot := fmt.Sprintf("%016x-%d", time.Now().UnixNano(), os.Getpid())
+	leader := locator.New(locator.Config{Messenger: d.messenger, Controls: cfg.Controls})
+	targets := roster.New(cfg.BeatMs)
+	d.dispatcher = dispatcher.New(dispatcher.Config{Clock: d.clock})
+	d.steward = steward.New(steward.Config{
+		Name: cfg.Name, Boot: boot, Address: cfg.AdvertiseAddress, FailureDomain: cfg.FailureDomain,
+		Beat: settings.Duration(cfg.BeatMs), Currency: settings.Duration(cfg.CurrencyMs), Clock: d.clock,
+		Locator: leader, Dispatcher: d.dispatcher, Roster: targets, Logger: log,
+	})
+	d.gateway = gateway.New(gateway.Config{
+		Steward: d.steward, Dispatcher: d.dispatcher, Retrier: retrier.New(), Messenger: d.messenger, Clock: d.clock,
+		Claimer: claimer.New(claimer.Config{Locator: leader, Entry: cfg.Name, Boot: boot}),
+		Meter:   counters, Logger: log,
+	})
+	operators := make([]console.Operator, 0, len(cfg.Operators))
+	for _, o := range cfg.Operators {
+		operators = append(operators, console.Operator{Name: o.Name, Token: o.Token})
+	}
+	// Requests have deadlines of their own; the transport's default of one second would cut them off.
+	d.http = khttp.NewServer(khttp.Address(cfg.HTTPAddress), khttp.Timeout(0))
+	d.http.HandlePrefix(gateway.Prefix, d.gateway)
+	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
+	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
+	d.http.HandlePrefix("/platform/v1/workers/poll", poller.New(poller.Config{
+		Locator: leader, Entry: cfg.Name, Batch: settings.Duration(cfg.PollBatchMs), Timeout: settings.Duration(cfg.PollTimeoutMs),
+	}))
+	d.http.HandlePrefix("/metrics", counters.Handler())
+	d.http.HandlePrefix("/healthz", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	}))
+	d.http.HandlePrefix("/readyz", http.HandlerFunc(d.ready))
+	if d.listener, err = listen(cfg.Address); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *daemon) handle(ctx context.Context, request *wire.Request) *wire.Reply {
+	if forward := request.GetForward(); forward != nil {
+		return d.gateway.Forwarded(ctx, forward)
+	}
+	return &wire.Reply{Body: &wire.Reply_Refusal{Refusal: &wire.Refusal{
+		Reason: reason.RequestInvalid.String(), Detail: "entryd does not answer this request",
+	}}}
+}
+
+// readiness is the body of /readyz; the balancer reads only the status code.
+type readiness struct {
+	Ready    bool   `json:"ready"`
+	Reason   string `json:"reason,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	why := d.steward.Current(d.clock.Now())
+	if d.leaving.Load() {
+		why = reason.ShuttingDown
+	}
+	body := readiness{Ready: why == reason.None, Reason: why.String(), Revision: d.steward.State().Config.GetRevision()}
+	w.Header().Set("Content-Type", "application/json")
+	if !body.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// Start runs the control thread until Stop.
+func (d *daemon) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() { _ = d.messenger.Serve(d.listener) }()
+	d.steward.Run(ctx)
+	close(d.done)
+	return nil
+}
+
+// Stop ends the control thread and closes all sessions.
+func (d *daemon) Stop(context.Context) error {
+	d.cancel()
+	<-d.done
+	d.messenger.Close()
+	return d.listener.Close()
+}
--- /dev/null
+++ b/entryd/internal/console/console.go
@@ -0,0 +1,98 @@
+// Package console passes operators' requests on to the leader.
+package console
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"flamingodrift.example/entryd/internal/locator"
+
+	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// Prefix is the path of the operators' API: Prefix + action.
+const Prefix = "/operator/v1/"
+
+const (
+	// maxBodyBytes allows a sheet of 4 MiB with its JSON escapes.
+	maxBodyBytes  = 8 << 20
+	answerTimeout = 5 * time.Second
+)
+
+// Operator may use the API.
+type Operator struct {
+	Name, Token string
+}
+
+// Config holds what a Console needs.
+type Config struct {
+	Locator   *locator.Locator
+	Operators []Operator
+	Meter     *meter.Meter
+}
+
+// Console is safe for concurrent use.
+type Console struct {
+	cfg Config
+}
+
+// New returns a Console.
+func New(cfg Config) *Console { return &Console{cfg: cfg} }
+
+// ServeHTTP passes one request on.
+func (c *Console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	operator, ok := c.authenticate(r)
+	if !ok {
+		c.refuse(w, http.StatusUnauthorized, reason.Unauthorized, "a bearer token of an operator is needed")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		c.refuse(w, http.StatusRequestEntityTooLarge, reason.RequestTooLarge, "the body cannot be read or is too large")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
+	defer cancel()
+	reply, err := c.cfg.Locator.Call(ctx, &wire.Request{Body: &wire.Request_Operate{Operate: &wire.OperateRequest{
+		Operator: operator, Action: strings.TrimPrefix(r.URL.Path, Prefix), Body: body,
+	}}})
+	var refused *locator.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		c.refuse(w, http.StatusServiceUnavailable, reason.Reason(refused.Refusal.GetReason()), refused.Refusal.GetDetail())
+	case err != nil:
+		c.refuse(w, http.StatusServiceUnavailable, reason.NoLeader,
+			"no leader answered in time; a change may have been accepted: send it again with the same change id")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(int(reply.GetOperate().GetStatus()))
+		// The client has gone if this fails.
+		_, _ = w.Write(reply.GetOperate().GetBody())
+	}
+}
+
+// authenticate compares the token with that of every operator, in constant time.
+func (c *Console) authenticate(r *http.Request) (name string, ok bool) {
+	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	for _, o := range c.cfg.Operators {
+		if subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) == 1 {
+			name, ok = o.Name, true
+		}
+	}
+	return name, ok
+}
+
+func (c *Console) refuse(w http.ResponseWriter, status int, why reason.Reason, detail string) {
+	c.cfg.Meter.Refused(why)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"reason": why.String(), "detail": detail})
+}
--- /dev/null
+++ b/entryd/internal/locator/locator.go
@@ -0,0 +1,109 @@
+// Package locator finds the leading controld process and calls it.
+package locator
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// RefusedError is returned when the leader refused a request; it had no effect.
+type RefusedError struct {
+	Refusal *wire.Refusal
+}
+
+// Error returns the reason and its detail.
+func (e *RefusedError) Error() string { return e.Refusal.GetReason() + ": " + e.Refusal.GetDetail() }
+
+// ErrNoLeader is returned when no controld process leads or can be reached before the context ends.
+var ErrNoLeader = errors.New("no leader can be reached")
+
+const (
+	attemptTimeout = 700 * time.Millisecond
+	retryPause     = 50 * time.Millisecond
+)
+
+// Config holds what a Locator needs.
+type Config struct {
+	Messenger *messenger.Messenger
+	// Controls are the addresses of all controld processes.
+	Controls []string
+}
+
+// Locator remembers the leader's address. It is safe for concurrent use.
+type Locator struct {
+	cfg Config
+
+	mu     sync.Mutex
+	leader string
+	next   int
+}
+
+// New returns a Locator that does not know the leader yet.
+func New(cfg Config) *Locator { return &Locator{cfg: cfg} }
+
+// Call sends a request to the leader. A request that may have reached a leader without an answer is sent again, so it
+// must be one that a leader recognises as a repetition.
+func (l *Locator) Call(ctx context.Context, request *wire.Request) (*wire.Reply, error) {
+	for {
+		address := l.address()
+		reply, err := l.attempt(ctx, address, request)
+		refusal := reply.GetRefusal()
+		switch {
+		case err != nil:
+			l.forget(address)
+		case refusal == nil:
+			l.remember(address)
+			return reply, nil
+		case refusal.GetReason() == reason.NotLeader.String() && refusal.GetLeaderAddress() != "":
+			l.remember(refusal.GetLeaderAddress())
+			if ctx.Err() == nil {
+				continue
+			}
+		case refusal.GetReason() == reason.NoLeader.String() || refusal.GetReason() == reason.NotLeader.String():
+			l.forget(address)
+		default:
+			return nil, &RefusedError{Refusal: refusal}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ErrNoLeader, ctx.Err())
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (l *Locator) attempt(ctx context.Context, address string, request *wire.Request) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return l.cfg.Messenger.Call(ctx, address, request)
+}
+
+func (l *Locator) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader != "" {
+		return l.leader
+	}
+	l.next++
+	return l.cfg.Controls[l.next%len(l.cfg.Controls)]
+}
+
+func (l *Locator) remember(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader = address
+}
+
+func (l *Locator) forget(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == address {
+		l.leader = ""
+	}
+}
--- /dev/null
+++ b/entryd/main.go
@@ -0,0 +1,103 @@
+// Command entryd is the entry process of a cell: callers, targets, workers and operators talk to it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kratos/kratos/v2"
+	"github.com/samber/oops"
+
+	"flamingodrift.example/entryd/internal/settings"
+
+	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/logger"
+)
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments" placeholder:"FILE"`
+	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "entryd is the entry process of a cell: callers, targets, workers and operators talk to it."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	cfg := &settings.Settings{}
+	if err := loader.Load(args.Settings, cfg); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if args.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	log := logger.New(os.Stderr, "entryd", cfg.Name)
+	if err := run(cfg); err != nil {
+		logger.Fatal.Log(log, "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(cfg *settings.Settings) error {
+	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	d, err := assemble(cfg)
+	if err != nil {
+		return err
+	}
+	log := logger.New(os.Stderr, "entryd", cfg.Name)
+	app := kratos.New(
+		kratos.Name("entryd"),
+		kratos.Server(d.http, d),
+		kratos.StopTimeout(settings.Duration(cfg.StopMs)),
+		kratos.AfterStart(func(context.Context) error {
+			logger.Started.Log(log, "address", cfg.Address, "http_address", cfg.HTTPAddress)
+			return nil
+		}),
+		kratos.BeforeStop(func(context.Context) error {
+			logger.ShutdownStarted.Log(log)
+			if !d.drain(settings.Duration(cfg.DrainMs), settings.Duration(cfg.StopMs)) {
+				logger.ShutdownTimedOut.Log(log, "requests_in_progress", d.gateway.Active())
+			}
+			return nil
+		}),
+	)
+	if err := app.Run(); err != nil {
+		return oops.In("entryd").With("name", cfg.Name).Wrapf(err, "run")
+	}
+	logger.ShutdownFinished.Log(log)
+	return nil
+}
+
+// drain leaves the balancer and the leader's list of entry processes, then waits until no request is in progress. It
+// returns false when that takes longer than limit.
+func (d *daemon) drain(notice, limit time.Duration) bool {
+	d.leaving.Store(true)
+	d.steward.Leave()
+	time.Sleep(notice)
+	const pause = 20 * time.Millisecond
+	for waited := time.Duration(0); waited < limit; waited += pause {
+		if d.gateway.Active() == 0 && d.dispatcher.Busy() == 0 {
+			return true
+		}
+		time.Sleep(pause)
+	}
+	return false
+}
+
+func listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, oops.In("messenger").With("address", address).Wrapf(err, "listen")
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/flamingoctl/internal/printer/printer.go
@@ -0,0 +1,144 @@
+// Package printer shows answers of the operators' API as tables for people or as JSON for programs.
+package printer
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Printer writes answers.
+type Printer struct {
+	out  io.Writer
+	json bool
+}
+
+// New returns a Printer; asJSON passes answers on unchanged but indented.
+func New(out io.Writer, asJSON bool) *Printer { return &Printer{out: out, json: asJSON} }
+
+// column describes one column of a table.
+type column struct {
+	title, field string
+	format       func(any) string
+}
+
+var tables = map[string][]column{
+	"list": {
+		{title: "TASK", field: "task"}, {title: "TEAM", field: "team"}, {title: "KIND", field: "kind"},
+		{title: "STATE", field: "state"}, {title: "WORKER", field: "worker"}, {title: "REASON", field: "reason"},
+		{title: "SINCE", field: "since_unix_ms", format: unixMs},
+	},
+	"why": {{title: "TASK", field: "task"}, {title: "STATE", field: "state"}, {title: "WHY", field: "sentence"}},
+	"hosts": {
+		{title: "NAME", field: "name"}, {title: "ROLE", field: "role"}, {title: "STATE", field: "state"},
+		{title: "FAILURE DOMAIN", field: "failure_domain"}, {title: "RACK", field: "rack"}, {title: "NOTE", field: "sentence"},
+	},
+	"history": {
+		{title: "REVISION", field: "revision"}, {title: "AT", field: "at_unix_ms", format: unixMs},
+		{title: "OPERATOR", field: "operator"}, {title: "CHANGE", field: "text"},
+	},
+}
+
+func unixMs(value any) string {
+	n, err := value.(json.Number).Int64()
+	if err != nil {
+		return ""
+	}
+	return time.UnixMilli(n).UTC().Format(time.RFC3339)
+}
+
+// Print shows the answer to an action.
+func (p *Printer) Print(action string, answer []byte) error {
+	if p.json {
+		var indented bytes.Buffer
+		if err := json.Indent(&indented, answer, "", "  "); err != nil {
+			return fmt.Errorf("indent answer: %w", err)
+		}
+		_, err := fmt.Fprintln(p.out, indented.String())
+		return err
+	}
+	if action == "waiting" {
+		action = "why"
+	}
+	if columns, ok := tables[action]; ok {
+		return p.table(columns, answer)
+	}
+	return p.fields(answer)
+}
+
+func (p *Printer) table(columns []column, answer []byte) error {
+	var rows []map[string]any
+	if err := decode(answer, &rows); err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(p.out, 0, 4, 2, ' ', 0)
+	titles := make([]string, 0, len(columns))
+	for _, c := range columns {
+		titles = append(titles, c.title)
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(titles, "\t"))
+	for _, row := range rows {
+		cells := make([]string, 0, len(columns))
+		for _, c := range columns {
+			cells = append(cells, cell(c, row[c.field]))
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
+
+func cell(c column, value any) string {
+	switch {
+	case value == nil:
+		return "-"
+	case c.format != nil:
+		return c.format(value)
+	case value == "":
+		return "-"
+	default:
+		return fmt.Sprint(value)
+	}
+}
+
+// fields shows the sentences of an object, or else its fields in the order of the answer.
+func (p *Printer) fields(answer []byte) error {
+	var object map[string]any
+	if err := decode(answer, &object); err != nil {
+		return err
+	}
+	if sentences, ok := object["sentences"].([]any); ok {
+		for _, sentence := range sentences {
+			_, _ = fmt.Fprintln(p.out, sentence)
+		}
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(answer))
+	if _, err := decoder.Token(); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	for decoder.More() {
+		name, err := decoder.Token()
+		if err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return fmt.Errorf("read answer: %w", err)
+		}
+		_, _ = fmt.Fprintf(p.out, "%s: %s\n", name, bytes.Trim(value, `"`))
+	}
+	return nil
+}
+
+func decode(answer []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(answer))
+	decoder.UseNumber()
+	if err := decoder.Decode(target); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/demo/demo.go
@@ -0,0 +1,199 @@
+// Package demo starts a small whole cell, uses it as operators and callers do, and cleans up after itself.
+package demo
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"flamingodrift.example/standin/internal/launcher"
+	"flamingodrift.example/standin/internal/oracle"
+	"flamingodrift.example/standin/internal/workeragent"
+)
+
+const (
+	startLimit  = 30 * time.Second
+	runLimit    = 30 * time.Second
+	workerCount = 6
+	pollPause   = 200 * time.Millisecond
+)
+
+// Config says what to run.
+type Config struct {
+	Programs string
+	Examples string
+	Out      io.Writer
+}
+
+type demo struct {
+	cfg    Config
+	cell   *launcher.Launcher
+	oracle *oracle.Oracle
+	token  string
+}
+
+// Run starts the cell, applies the example and prints what happens.
+func Run(cfg Config) error {
+	folder, err := os.MkdirTemp("", "flamingodrift-demo-")
+	if err != nil {
+		return fmt.Errorf("create folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	cell, err := launcher.New(launcher.Config{
+		Programs: cfg.Programs, Folder: folder, Controls: 3, Entries: 2,
+		FailureDomains: []string{"khomas-a", "khomas-b", "khomas-c"},
+	})
+	if err != nil {
+		return err
+	}
+	defer cell.Close()
+	d := &demo{cfg: cfg, cell: cell, oracle: oracle.New(), token: filepath.Join(folder, "token")}
+	if err := os.WriteFile(d.token, []byte(launcher.Token), 0o600); err != nil {
+		return fmt.Errorf("write token: %w", err)
+	}
+	if err := d.start(); err != nil {
+		return err
+	}
+	for i := range workerCount {
+		w := d.worker(i)
+		defer w.Stop()
+	}
+	return d.use()
+}
+
+func (d *demo) start() error {
+	if err := d.cell.Bootstrap(); err != nil {
+		return err
+	}
+	if err := d.cell.StartAll(); err != nil {
+		return err
+	}
+	if err := d.cell.WaitReady(startLimit); err != nil {
+		return err
+	}
+	d.say("Three control processes and two entry processes are ready; %s leads.", d.cell.Leader())
+	return nil
+}
+
+func (d *demo) worker(i int) *workeragent.Worker {
+	return workeragent.Start(workeragent.Config{
+		Name: fmt.Sprintf("worker-%d", i+1), Rack: fmt.Sprintf("rack-%d", i/2+1),
+		FailureDomain: []string{"khomas-a", "khomas-b", "khomas-c"}[i%3], IP: d.cell.WorkerIP(i),
+		Capacity: oracle.Amount{Processors: 8, MemoryMB: 32768}, Entries: d.cell.Balance, Oracle: d.oracle,
+		Poll: 500 * time.Millisecond, PollTimeout: 2 * time.Second, DrainTime: time.Second,
+	})
+}
+
+func (d *demo) use() error {
+	if err := d.control("configure", filepath.Join(d.cfg.Examples, "config.json")); err != nil {
+		return err
+	}
+	if err := d.waitFor("workers", func() bool { return strings.Count(d.output("hosts"), "worker-") == workerCount }); err != nil {
+		return err
+	}
+	sheet := filepath.Join(d.cfg.Examples, "sheet.csv")
+	if err := d.control("plan", sheet); err != nil {
+		return err
+	}
+	if err := d.control("apply", sheet); err != nil {
+		return err
+	}
+	if err := d.waitFor("the targets", func() bool { return strings.Count(d.output("hosts"), "It serves chairbook") == 3 }); err != nil {
+		return err
+	}
+	if err := d.call(); err != nil {
+		return err
+	}
+	for _, args := range [][]string{{"status"}, {"list"}, {"why", "year-report"}, {"waiting"}, {"history"}} {
+		if err := d.control(args...); err != nil {
+			return err
+		}
+	}
+	if violations := d.oracle.Violations(); len(violations) > 0 {
+		return errors.New(strings.Join(violations, "\n"))
+	}
+	d.say("No worker was given more than it has, and no task ran in two places at once.")
+	return nil
+}
+
+// call sends requests as a barber's telephone would: one that may be repeated, and one deposit charge that is sent
+// twice and runs once.
+func (d *demo) call() error {
+	if err := d.request(http.MethodGet, "/call/chairbook/free?day=friday", ""); err != nil {
+		return err
+	}
+	for range 2 {
+		if err := d.request(http.MethodPost, "/call/chairbook/deposit", "deposit-1"); err != nil {
+			return err
+		}
+	}
+	if n := d.oracle.Executions("barber-1", "deposit-1"); n != 1 {
+		return fmt.Errorf("the deposit charge ran %d times", n)
+	}
+	d.say("The deposit charge was sent twice and ran once.")
+	return nil
+}
+
+func (d *demo) request(method, path, key string) error {
+	request, err := http.NewRequest(method, "http://"+d.cell.Balance()+path, strings.NewReader("chair 7"))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Flamingo-Caller", "barber-1")
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	d.say("%s %s: %s, %s: %s", method, path, response.Header.Get("Flamingo-Outcome"), response.Status, body)
+	if response.Header.Get("Flamingo-Outcome") != "answered" {
+		return errors.New("the request was not answered")
+	}
+	return nil
+}
+
+func (d *demo) command(args ...string) *exec.Cmd {
+	entries := d.cell.EntryHTTP(0) + "," + d.cell.EntryHTTP(1)
+	return exec.Command(filepath.Join(d.cfg.Programs, "flamingoctl"),
+		append([]string{"--entries", entries, "--token-file", d.token}, args...)...)
+}
+
+func (d *demo) output(args ...string) string {
+	out, err := d.command(args...).Output()
+	if err != nil {
+		return ""
+	}
+	return string(out)
+}
+
+func (d *demo) control(args ...string) error {
+	d.say("\n$ flamingoctl %s", strings.Join(args, " "))
+	out, err := d.command(args...).CombinedOutput()
+	_, _ = d.cfg.Out.Write(out)
+	if err != nil {
+		return fmt.Errorf("flamingoctl %s: %w", args[0], err)
+	}
+	return nil
+}
+
+func (d *demo) waitFor(what string, ok func() bool) error {
+	for end := time.Now().Add(runLimit); !ok(); time.Sleep(pollPause) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s did not appear in time", what)
+		}
+	}
+	return nil
+}
+
+func (d *demo) say(format string, args ...any) { _, _ = fmt.Fprintf(d.cfg.Out, format+"\n", args...) }
--- /dev/null
+++ b/standin/internal/targetserver/targetserver.go
@@ -0,0 +1,171 @@
+// Package targetserver is a stand-in target: an HTTP server that announces itself to the entry processes.
+package targetserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"flamingodrift.example/standin/internal/oracle"
+)
+
+const announceTimeout = 2 * time.Second
+
+// Config describes a target.
+type Config struct {
+	Name    string
+	Service string
+	// IP number to listen on; the port is chosen by the system.
+	IP          string
+	Slots       int
+	Connections int
+	// Entries returns the address of an entry process for the next announcement.
+	Entries func() string
+	Oracle  *oracle.Oracle
+	// Announce is the interval of announcements.
+	Announce time.Duration
+}
+
+// Target serves until it is closed.
+type Target struct {
+	cfg      Config
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+	boot     string
+	busy     atomic.Int64
+	served   atomic.Int64
+	leaving  atomic.Bool
+	cancel   context.CancelFunc
+	done     chan struct{}
+	hurry    chan struct{}
+}
+
+// Start listens and begins to announce the target.
+func Start(cfg Config) (*Target, error) {
+	listener, err := net.Listen("tcp", cfg.IP+":0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Target{
+		cfg: cfg, listener: listener, client: &http.Client{Timeout: announceTimeout}, cancel: cancel,
+		boot: strconv.FormatInt(time.Now().UnixNano(), 16), done: make(chan struct{}), hurry: make(chan struct{}, 1),
+	}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
+	go func() { _ = t.server.Serve(listener) }()
+	go t.announceLoop(ctx)
+	return t, nil
+}
+
+// serve runs a request. The path says how: /sleep/MS waits, /status/CODE answers with a code, /short breaks the answer
+// off; all others echo the body.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	busy := t.busy.Add(1)
+	defer t.busy.Add(-1)
+	t.served.Add(1)
+	t.cfg.Oracle.Slots(t.cfg.Name, int(busy), t.cfg.Slots)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if r.Method != http.MethodGet {
+		t.cfg.Oracle.Executed(r.Header.Get("Flamingo-Caller"), r.Header.Get("Idempotency-Key"))
+	}
+	var argument int
+	status := http.StatusOK
+	switch {
+	case scan(r.URL.Path, "/sleep/%d", &argument):
+		time.Sleep(time.Duration(argument) * time.Millisecond)
+	case scan(r.URL.Path, "/status/%d", &argument):
+		status = argument
+	case r.URL.Path == "/short":
+		w.Header().Set("Content-Length", "1000")
+	}
+	w.Header().Set("Standin-Target", t.cfg.Name)
+	w.Header().Set("Standin-Caller", r.Header.Get("Flamingo-Caller"))
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.Path, body)
+}
+
+func scan(path, format string, argument *int) bool {
+	n, err := fmt.Sscanf(path, format, argument)
+	return err == nil && n == 1
+}
+
+func (t *Target) announceLoop(ctx context.Context) {
+	defer close(t.done)
+	ticker := time.NewTicker(t.cfg.Announce)
+	defer ticker.Stop()
+	for {
+		t.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-t.hurry:
+		}
+	}
+}
+
+func (t *Target) announce(ctx context.Context) {
+	body, err := json.Marshal(map[string]any{
+		"target": t.cfg.Name, "service": t.cfg.Service, "address": t.listener.Addr().String(), "slots": t.cfg.Slots,
+		"connections": t.cfg.Connections, "busy": t.busy.Load(), "leaving": t.leaving.Load(), "boot": t.boot,
+	})
+	if err != nil {
+		return
+	}
+	url := "http://" + t.cfg.Entries() + "/platform/v1/targets/announce"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if response, err := t.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// Served returns how many requests arrived.
+func (t *Target) Served() int64 { return t.served.Load() }
+
+// Address returns where the target listens.
+func (t *Target) Address() string { return t.listener.Addr().String() }
+
+// Leave announces that the target leaves.
+func (t *Target) Leave() {
+	t.leaving.Store(true)
+	select {
+	case t.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// Shutdown announces that the target leaves, waits until no request has been in progress for the grace time, and stops.
+func (t *Target) Shutdown(grace time.Duration) error {
+	t.Leave()
+	time.Sleep(grace)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := t.server.Shutdown(ctx)
+	t.cancel()
+	<-t.done
+	return err
+}
+
+// Kill stops at once and breaks all connections.
+func (t *Target) Kill() {
+	t.cancel()
+	if err := t.server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.cfg.Oracle.Violate("close target: " + err.Error())
+	}
+	<-t.done
+}
--- /dev/null
+++ b/standin/internal/workeragent/workeragent.go
@@ -0,0 +1,304 @@
+// Package workeragent is a stand-in worker of the platform. Its guards are off: it starts whatever it is told to, and the
+// oracle counts.
+package workeragent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"flamingodrift.example/standin/internal/oracle"
+	"flamingodrift.example/standin/internal/targetserver"
+)
+
+// Config describes a worker.
+type Config struct {
+	Name          string
+	Rack          string
+	FailureDomain string
+	// IP number that the worker's targets listen on.
+	IP       string
+	Capacity oracle.Amount
+	// Entries returns the address of an entry process for the next poll.
+	Entries func() string
+	Oracle  *oracle.Oracle
+	Poll    time.Duration
+	// PollTimeout is how long the worker waits for the reply to a poll before it closes the connection.
+	PollTimeout time.Duration
+	// DrainTime is how long a stopping target goes on serving.
+	DrainTime time.Duration
+}
+
+// Worker polls until it is stopped.
+type Worker struct {
+	cfg    Config
+	client *http.Client
+
+	mu         sync.Mutex
+	boot       string
+	poll       uint64
+	session    uint64
+	leaseUntil time.Time
+	tasks      map[string]*task
+	cut        bool
+	failing    bool
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+type task struct {
+	attempt uint64
+	phase   string
+	detail  string
+	cancel  context.CancelFunc
+}
+
+type taskStatus struct {
+	Task    string `json:"task"`
+	Attempt uint64 `json:"attempt"`
+	Phase   string `json:"phase"`
+	Detail  string `json:"detail"`
+}
+
+type order struct {
+	Kind      string        `json:"kind"`
+	Task      string        `json:"task"`
+	Attempt   uint64        `json:"attempt"`
+	Resources oracle.Amount `json:"resources"`
+	Command   string        `json:"command"`
+	Service   string        `json:"service"`
+}
+
+type reply struct {
+	LeaseMs uint32  `json:"lease_ms"`
+	Session uint64  `json:"session"`
+	Refused string  `json:"refused"`
+	Orders  []order `json:"orders"`
+}
+
+// Start begins to poll.
+func Start(cfg Config) *Worker {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Worker{
+		cfg: cfg, client: &http.Client{Timeout: cfg.PollTimeout}, tasks: map[string]*task{}, cancel: cancel,
+		done: make(chan struct{}),
+	}
+	w.newBoot()
+	cfg.Oracle.Capacity(cfg.Name, cfg.Capacity)
+	go w.run(ctx)
+	return w
+}
+
+func (w *Worker) newBoot() {
+	w.boot = fmt.Sprintf("%016x", time.Now().UnixNano())
+	w.poll, w.session = 0, 0
+}
+
+func (w *Worker) run(ctx context.Context) {
+	defer close(w.done)
+	ticker := time.NewTicker(w.cfg.Poll)
+	defer ticker.Stop()
+	for {
+		w.checkLease()
+		w.pollOnce(ctx)
+		select {
+		case <-ctx.Done():
+			w.mu.Lock()
+			w.stopAll()
+			w.mu.Unlock()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// checkLease ends all tasks when the lease has run out; the worker then starts again as a new boot.
+func (w *Worker) checkLease() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.tasks) > 0 && time.Now().After(w.leaseUntil) {
+		w.stopAll()
+		w.newBoot()
+	}
+}
+
+func (w *Worker) stopAll() {
+	for id, t := range w.tasks {
+		if t.phase == "running" {
+			t.phase = "stopped"
+			t.cancel()
+			w.cfg.Oracle.Ended(w.cfg.Name, id, t.attempt)
+		}
+	}
+	w.tasks = map[string]*task{}
+}
+
+func (w *Worker) pollOnce(ctx context.Context) {
+	w.mu.Lock()
+	if w.cut {
+		w.mu.Unlock()
+		return
+	}
+	w.poll++
+	statuses := []taskStatus{}
+	for id, t := range w.tasks {
+		statuses = append(statuses, taskStatus{id, t.attempt, t.phase, t.detail})
+	}
+	body, err := json.Marshal(map[string]any{
+		"worker": w.cfg.Name, "boot": w.boot, "poll": w.poll, "session": w.session, "capacity": w.cfg.Capacity,
+		"rack": w.cfg.Rack, "failure_domain": w.cfg.FailureDomain, "tasks": statuses,
+	})
+	w.mu.Unlock()
+	if err != nil {
+		return
+	}
+	sentAt := time.Now()
+	r, err := w.send(ctx, body)
+	if err != nil {
+		return
+	}
+	w.obey(r, sentAt)
+}
+
+func (w *Worker) send(ctx context.Context, body []byte) (*reply, error) {
+	url := "http://" + w.cfg.Entries() + "/platform/v1/workers/poll"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := w.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.New(response.Status)
+	}
+	r := &reply{}
+	if err := json.NewDecoder(response.Body).Decode(r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func (w *Worker) obey(r *reply, sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Refused == "lease_ended" {
+		w.stopAll()
+		w.newBoot()
+		return
+	}
+	if r.Refused != "" {
+		return
+	}
+	w.session = r.Session
+	w.leaseUntil = sentAt.Add(time.Duration(r.LeaseMs) * time.Millisecond)
+	for _, o := range r.Orders {
+		t := w.tasks[o.Task]
+		switch {
+		case o.Kind == "start":
+			w.start(o)
+		case t == nil || t.attempt != o.Attempt:
+		case o.Kind == "stop":
+			t.cancel()
+		case o.Kind == "forget":
+			delete(w.tasks, o.Task)
+		}
+	}
+}
+
+// start runs a command: "sleep DURATION", "fail", or "serve SLOTS".
+func (w *Worker) start(o order) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &task{attempt: o.Attempt, phase: "running", cancel: cancel}
+	w.tasks[o.Task] = t
+	w.cfg.Oracle.Started(w.cfg.Name, o.Task, o.Attempt, o.Resources)
+	failing := w.failing
+	go func() {
+		phase, detail := w.execute(ctx, o, failing)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if t.phase == "running" {
+			t.phase, t.detail = phase, detail
+			w.cfg.Oracle.Ended(w.cfg.Name, o.Task, o.Attempt)
+		}
+	}()
+}
+
+func (w *Worker) execute(ctx context.Context, o order, failing bool) (phase, detail string) {
+	command, argument, _ := strings.Cut(o.Command, " ")
+	if failing {
+		return "failed", "this worker fails every task"
+	}
+	switch command {
+	case "fail":
+		return "failed", "the command fails"
+	case "serve":
+		return w.serveTask(ctx, o, argument)
+	default:
+		duration, err := time.ParseDuration(argument)
+		if err != nil {
+			return "failed", err.Error()
+		}
+		select {
+		case <-ctx.Done():
+			return "stopped", "stopped"
+		case <-time.After(duration):
+			return "succeeded", ""
+		}
+	}
+}
+
+func (w *Worker) serveTask(ctx context.Context, o order, argument string) (phase, detail string) {
+	slots := 8
+	if _, err := fmt.Sscanf(argument, "%d", &slots); argument != "" && err != nil {
+		return "failed", err.Error()
+	}
+	t, err := targetserver.Start(targetserver.Config{
+		Name: fmt.Sprintf("%s.%d", strings.ReplaceAll(o.Task, "/", "."), o.Attempt), Service: o.Service, IP: w.cfg.IP,
+		Slots: slots, Connections: 64, Entries: w.cfg.Entries, Oracle: w.cfg.Oracle, Announce: w.cfg.Poll,
+	})
+	if err != nil {
+		return "failed", err.Error()
+	}
+	<-ctx.Done()
+	w.mu.Lock()
+	graceful := w.tasks[o.Task] != nil && w.tasks[o.Task].phase == "running"
+	w.mu.Unlock()
+	if !graceful {
+		t.Kill()
+		return "stopped", "killed"
+	}
+	if err := t.Shutdown(w.cfg.DrainTime); err != nil {
+		return "stopped", err.Error()
+	}
+	return "stopped", "drained"
+}
+
+// SetCut cuts the worker off from all entry processes, or ends that.
+func (w *Worker) SetCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// SetFailing makes every task that starts from now on fail, or ends that.
+func (w *Worker) SetFailing(failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = failing
+}
+
+// Stop ends the worker and all its tasks.
+func (w *Worker) Stop() {
+	w.cancel()
+	<-w.done
+}
