--- a/controld/internal/controller/event.go
+++ b/controld/internal/controller/event.go
@@ -125,10 +125,10 @@
 }
 
 // ask queues an event made with a reply function and waits for the reply.
-func (c *Controller) ask(ctx context.Context, make func(reply func(*wire.Reply)) event) *wire.Reply {
+func (c *Controller) ask(ctx context.Context, build func(reply func(*wire.Reply)) event) *wire.Reply {
 	replies := newOnce[*wire.Reply]()
 	select {
-	case c.queue <- make(replies.put):
+	case c.queue <- build(replies.put):
 	case <-ctx.Done():
 		return nil
 	}
--- a/controld/internal/registrar/entry.go
+++ b/controld/internal/registrar/entry.go
@@ -42,7 +42,7 @@
 
 // Beat renews the lease of an entry process and returns what it owns.
 func (r *Registrar) Beat(request *wire.BeatRequest, now time.Duration) *wire.BeatReply {
-	e := r.entryOf(request, now)
+	e := r.entryOf(request)
 	e.address, e.failureDomain = request.GetAddress(), request.GetFailureDomain()
 	e.loads, e.leaving = request.GetLoads(), request.GetLeaving()
 	e.until = now + r.cfg.withDrift(r.cfg.EntryLease)
@@ -60,7 +60,7 @@
 	return reply
 }
 
-func (r *Registrar) entryOf(request *wire.BeatRequest, now time.Duration) *entry {
+func (r *Registrar) entryOf(request *wire.BeatRequest) *entry {
 	name := request.GetEntry()
 	delete(r.entries, name+"\x00"+request.GetBoot())
 	e := r.entries[name]
--- a/controld/internal/registrar/registrar.go
+++ b/controld/internal/registrar/registrar.go
@@ -36,11 +36,10 @@
 }
 
 type workerLease struct {
-	boot    string
-	poll    uint64
-	until   time.Duration
-	over    bool
-	session bool
+	boot  string
+	poll  uint64
+	until time.Duration
+	over  bool
 }
 
 // New returns the Registrar of a leader that was elected at now. workers maps the workers that are not lost to their
--- a/entryd/internal/gateway/serve.go
+++ b/entryd/internal/gateway/serve.go
@@ -24,23 +24,19 @@
 // deadline has passed.
 func (g *Gateway) serve(ctx context.Context, c *call) *result {
 	sent := false
-	last := notRun(reason.NoTarget, "no target of the service is available")
 	for attempt := 1; ; {
 		if ctx.Err() != nil {
 			return g.expired(sent)
 		}
 		res, failure := g.attempt(ctx, c)
 		switch {
-		case failure == nil && res != nil:
+		case res != nil:
 			return res
 		case failure == nil:
 			// Nothing was free and nothing was sent: this is waiting and costs no retry.
 			continue
-		case failure.Reason == reason.QueueFull || failure.Reason == reason.LeaseEnded && !failure.Sent:
-			last = notRun(failure.Reason, "no slot is free")
-			if failure.Reason == reason.QueueFull && !sent {
-				return last
-			}
+		case failure.Reason == reason.QueueFull:
+			return ended(sent, failure, reason.None)
 		}
 		sent = sent || failure.Sent
 		may, why := g.cfg.Retrier.Spend(retrier.Attempt{Number: attempt, Sent: failure.Sent, Idempotent: c.idempotent})
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -43,9 +43,9 @@
 const minTokenBytes = 16
 
 type number struct {
-	path           string
-	value          *int
-	standard       int
+	path            string
+	value           *int
+	standard        int
 	lowest, highest int
 }
 
--- a/flamingoctl/internal/printer/printer.go
+++ b/flamingoctl/internal/printer/printer.go
@@ -28,18 +28,28 @@
 
 var tables = map[string][]column{
 	"list": {
-		{title: "TASK", field: "task"}, {title: "TEAM", field: "team"}, {title: "KIND", field: "kind"},
-		{title: "STATE", field: "state"}, {title: "WORKER", field: "worker"}, {title: "REASON", field: "reason"},
+		{title: "TASK", field: "task"},
+		{title: "TEAM", field: "team"},
+		{title: "KIND", field: "kind"},
+		{title: "STATE", field: "state"},
+		{title: "WORKER", field: "worker"},
+		{title: "REASON", field: "reason"},
 		{title: "SINCE", field: "since_unix_ms", format: unixMs},
 	},
 	"why": {{title: "TASK", field: "task"}, {title: "STATE", field: "state"}, {title: "WHY", field: "sentence"}},
 	"hosts": {
-		{title: "NAME", field: "name"}, {title: "ROLE", field: "role"}, {title: "STATE", field: "state"},
-		{title: "FAILURE DOMAIN", field: "failure_domain"}, {title: "RACK", field: "rack"}, {title: "NOTE", field: "sentence"},
+		{title: "NAME", field: "name"},
+		{title: "ROLE", field: "role"},
+		{title: "STATE", field: "state"},
+		{title: "FAILURE DOMAIN", field: "failure_domain"},
+		{title: "RACK", field: "rack"},
+		{title: "NOTE", field: "sentence"},
 	},
 	"history": {
-		{title: "REVISION", field: "revision"}, {title: "AT", field: "at_unix_ms", format: unixMs},
-		{title: "OPERATOR", field: "operator"}, {title: "CHANGE", field: "text"},
+		{title: "REVISION", field: "revision"},
+		{title: "AT", field: "at_unix_ms", format: unixMs},
+		{title: "OPERATOR", field: "operator"},
+		{title: "CHANGE", field: "text"},
 	},
 }
 
--- a/standin/internal/launcher/launcher.go
+++ b/standin/internal/launcher/launcher.go
@@ -122,7 +122,9 @@
 	return addresses
 }
 
-func (l *Launcher) failureDomain(i int) string { return l.cfg.FailureDomains[i%len(l.cfg.FailureDomains)] }
+func (l *Launcher) failureDomain(i int) string {
+	return l.cfg.FailureDomains[i%len(l.cfg.FailureDomains)]
+}
 
 func (l *Launcher) addControl(i int) error {
 	name, ip := fmt.Sprintf("control-%d", i+1), l.controlIP(i)
@@ -303,7 +305,9 @@
 func (l *Launcher) EntryHTTP(i int) string { return fmt.Sprintf("%s:%d", l.entryIP(i), httpPort) }
 
 // ControlHealth returns the address of a control process's health answers.
-func (l *Launcher) ControlHealth(i int) string { return fmt.Sprintf("%s:%d", l.controlIP(i), healthPort) }
+func (l *Launcher) ControlHealth(i int) string {
+	return fmt.Sprintf("%s:%d", l.controlIP(i), healthPort)
+}
 
 // Balance returns the address of the next entry process that reports ready, as the platform's balancer does.
 func (l *Launcher) Balance() string {
