Add failure scenarios; report unknown when an earlier sending may have run

Ruled out: a broken claim (each key ran once); a stale claim release (no settle of that key in the logs). A member's name may be taken over after 5 election timeouts of silence (10 s with the default settings, as before). Conclusion: a true answer is about the caller's key, not about one sending.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -99,6 +99,7 @@
 	Term     uint64 `json:"term"`
 	Commit   uint64 `json:"commit"`
 	Member   bool   `json:"member"`
+	Voter    bool   `json:"voter"`
 	DiskFull bool   `json:"disk_full"`
 }
 
@@ -359,7 +360,7 @@
 func (c *Controller) publish() {
 	s := &Status{
 		Role: "follower", Leader: c.memberName(c.repl.LeaderID()), Term: c.repl.Term(), Commit: c.repl.Commit(),
-		DiskFull: c.diskFull, Member: c.isMember(),
+		DiskFull: c.diskFull, Member: c.isMember(), Voter: c.findMember(c.repl.ID()).GetVoter(),
 	}
 	if c.leads {
 		s.Role = "leader"
--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -14,8 +14,9 @@
 const (
 	joinInterval = time.Second
 	joinTimeout  = 900 * time.Millisecond
-	// nameSilence is how long a member must be silent before another data folder may take its name.
-	nameSilence = 10 * time.Second
+	// nameSilenceElections is how many election timeouts a member must be silent before another data folder may take its
+	// name: 10 s with the default settings.
+	nameSilenceElections = 5
 	// promoteLag is how many entries a non-voter may lag behind when it becomes a voter.
 	promoteLag = 16
 )
@@ -135,7 +136,7 @@
 	if !acked {
 		ackedSend = c.seenAlive[id]
 	}
-	return now-ackedSend < nameSilence
+	return now-ackedSend < nameSilenceElections*c.cfg.ElectionMax
 }
 
 // adjustMembership removes members whose name was taken over by a newer data folder, and promotes non-voters that have
--- a/entryd/internal/gateway/gateway.go
+++ b/entryd/internal/gateway/gateway.go
@@ -74,6 +74,8 @@
 	reason  reason.Reason
 	detail  string
 	answer  *wire.Answer
+	// proven is set when a not-run outcome holds for every sending with the same idempotency key, not only for this one.
+	proven bool
 }
 
 func notRun(why reason.Reason, detail string) *result {
@@ -100,6 +102,7 @@
 		res = g.run(ctx, c)
 		cancel()
 	}
+	res = qualify(r, c, res)
 	g.cfg.Meter.Outcome(service, outcomeName(res.outcome))
 	if res.outcome != wire.Outcome_OUTCOME_ANSWERED {
 		g.cfg.Meter.Refused(res.reason)
@@ -119,14 +122,14 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		return nil, notRun(reason.RequestTooLarge, fmt.Sprintf("the body cannot be read or exceeds %d bytes", maxBodyBytes))
+		return nil, provenNotRun(reason.RequestTooLarge, fmt.Sprintf("the body cannot be read or exceeds %d bytes", maxBodyBytes))
 	}
 	c := &call{
 		service: service, caller: r.Header.Get("Flamingo-Caller"), key: r.Header.Get("Idempotency-Key"),
 		idempotent: idempotent(service, r.Method),
 	}
 	if len(c.caller) > maxNameBytes || len(c.key) > maxNameBytes {
-		return nil, notRun(reason.RequestInvalid, fmt.Sprintf("caller and key have at most %d bytes", maxNameBytes))
+		return nil, provenNotRun(reason.RequestInvalid, fmt.Sprintf("caller and key have at most %d bytes", maxNameBytes))
 	}
 	if !c.idempotent && (c.key == "" || c.caller == "") {
 		return nil, notRun(reason.KeyMissing, "a non-idempotent request needs the headers Flamingo-Caller and Idempotency-Key")
@@ -196,13 +199,15 @@
 	case wire.ClaimState_CLAIM_STATE_RUNNING:
 		return unknown(reason.StillRunning, "an earlier request with this key is still running")
 	case wire.ClaimState_CLAIM_STATE_KEY_REUSED:
-		return notRun(reason.KeyReused, "this key was used for another request")
+		return provenNotRun(reason.KeyReused, "this key was used for another request")
 	case wire.ClaimState_CLAIM_STATE_FULL:
-		return notRun(reason.ClaimsFull, "too many idempotency keys are kept")
+		return provenNotRun(reason.ClaimsFull, "too many idempotency keys are kept")
 	default:
 		return unknown(reason.OutcomeUnknown, "an earlier request with this key ended without an answer; it will not be run again")
 	}
 	res := g.serve(ctx, c)
+	// The claim was granted, so no earlier sending with this key has run.
+	res.proven = true
 	g.settle(claim, res)
 	return res
 }
--- /dev/null
+++ b/standin/e2e/commands_test.go
@@ -0,0 +1,373 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"flamingodrift.example/standin/internal/launcher"
+	"flamingodrift.example/standin/internal/oracle"
+	"flamingodrift.example/standin/internal/traffic"
+	"flamingodrift.example/standin/internal/workeragent"
+)
+
+const (
+	startLimit = 30 * time.Second
+	pollPause  = 100 * time.Millisecond
+	pollEvery  = 250 * time.Millisecond
+)
+
+// timing shortens leases and timeouts about fourfold against the defaults, so that a scenario takes seconds. The ratios
+// between them are kept.
+var timing = map[string]int{
+	"heartbeat_ms": 100, "election_min_ms": 500, "election_max_ms": 1000, "worker_lease_ms": 2500, "poll_timeout_ms": 1000,
+	"entry_lease_ms": 1000, "target_silent_ms": 2000, "beat_ms": 250, "currency_ms": 2000, "drain_ms": 500,
+}
+
+// scene is the state of one script.
+type scene struct {
+	folder  string
+	cell    *launcher.Launcher
+	oracle  *oracle.Oracle
+	workers []*workeragent.Worker
+	traffic *traffic.Traffic
+	calls   sync.WaitGroup
+	results []string
+	mu      sync.Mutex
+}
+
+type sceneKey struct{}
+
+func setup(env *testscript.Env) error {
+	s := &scene{folder: env.WorkDir, oracle: oracle.New()}
+	env.Values[sceneKey{}] = s
+	env.Defer(s.close)
+	return nil
+}
+
+func (s *scene) close() {
+	if s.traffic != nil {
+		s.traffic.Stop()
+	}
+	for _, w := range s.workers {
+		w.Stop()
+	}
+	if s.cell != nil {
+		s.cell.Close()
+	}
+}
+
+func with(run func(s *scene, ts *testscript.TestScript, args []string)) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg {
+			ts.Fatalf("this command cannot be negated")
+		}
+		run(ts.Value(sceneKey{}).(*scene), ts, args)
+	}
+}
+
+func onProcess(act func(cell *launcher.Launcher, name string) error) func(*testscript.TestScript, bool, []string) {
+	return with(func(s *scene, ts *testscript.TestScript, args []string) {
+		for _, name := range args {
+			ts.Check(act(s.cell, name))
+		}
+	})
+}
+
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"cell":       with(cmdCell),
+	"leader":     with(cmdLeader),
+	"eventually": with(cmdEventually),
+	"call":       with(cmdCall),
+	"callwait":   with(cmdCallWait),
+	"traffic":    with(cmdTraffic),
+	"worker":     with(cmdWorker),
+	"ready":      with(cmdReady),
+	"voter":      with(cmdVoter),
+	"sleep":      with(cmdSleep),
+	"repeat":     with(cmdRepeat),
+	"check":      with(cmdCheck),
+	"chaos":      with(cmdChaos),
+	"crash":      onProcess((*launcher.Launcher).Kill),
+	"shutdown":   onProcess((*launcher.Launcher).Stop),
+	"start":      onProcess((*launcher.Launcher).Start),
+	"pause":      onProcess((*launcher.Launcher).Pause),
+	"resume":     onProcess((*launcher.Launcher).Resume),
+	"wipe":       onProcess((*launcher.Launcher).WipeDisk),
+	"cut": onProcess(func(cell *launcher.Launcher, name string) error {
+		cell.SetCut(name, true)
+		return nil
+	}),
+	"heal": onProcess(func(cell *launcher.Launcher, name string) error {
+		cell.SetCut(name, false)
+		return nil
+	}),
+}
+
+// cmdCell starts a cell: cell CONTROLS ENTRIES WORKERS.
+func cmdCell(s *scene, ts *testscript.TestScript, args []string) {
+	counts := make([]int, 3)
+	for i := range counts {
+		n, err := strconv.Atoi(args[i])
+		ts.Check(err)
+		counts[i] = n
+	}
+	programs, err := filepath.Abs(programsFolder)
+	ts.Check(err)
+	s.cell, err = launcher.New(launcher.Config{
+		Programs: programs, Folder: s.folder, Controls: counts[0], Entries: counts[1],
+		FailureDomains: []string{"a", "b", "c"}, Timing: timing,
+	})
+	ts.Check(err)
+	ts.Check(s.cell.Bootstrap())
+	ts.Check(s.cell.StartAll())
+	ts.Check(s.cell.WaitReady(startLimit))
+	for i := range counts[2] {
+		s.workers = append(s.workers, workeragent.Start(workeragent.Config{
+			Name: fmt.Sprintf("worker-%d", i+1), Rack: fmt.Sprintf("rack-%d", i/2+1), FailureDomain: []string{"a", "b", "c"}[i%3],
+			IP: s.cell.WorkerIP(i), Capacity: oracle.Amount{Processors: 8, MemoryMB: 32768}, Entries: s.cell.Balance,
+			Oracle: s.oracle, Poll: pollEvery, PollTimeout: time.Duration(timing["poll_timeout_ms"]) * time.Millisecond,
+			DrainTime: time.Second,
+		}))
+	}
+	var entries []string
+	for i := range counts[1] {
+		entries = append(entries, s.cell.EntryHTTP(i))
+	}
+	ts.Setenv("FLAMINGO_ENTRIES", strings.Join(entries, ","))
+	ts.Setenv("FLAMINGO_TOKEN_FILE", ts.MkAbs("token"))
+	ts.Setenv("PATH", programs+":"+ts.Getenv("PATH"))
+	s.waitVoters(ts, counts[0])
+}
+
+// waitVoters waits until every control process is a voter.
+func (s *scene) waitVoters(ts *testscript.TestScript, voters int) {
+	s.poll(ts, startLimit, fmt.Sprintf("%d control voters", voters), []string{"status"}, 0)
+}
+
+// cmdLeader waits for a leader and stores its name, and optionally those of the followers: leader VAR [VAR...].
+func cmdLeader(s *scene, ts *testscript.TestScript, args []string) {
+	name := ""
+	for end := time.Now().Add(startLimit); name == ""; time.Sleep(pollPause) {
+		if time.Now().After(end) {
+			ts.Fatalf("no control process leads")
+		}
+		name = s.cell.Leader()
+	}
+	ts.Setenv(args[0], name)
+	next := 1
+	for _, other := range s.cell.Names("control-") {
+		if other != name && next < len(args) {
+			ts.Setenv(args[next], other)
+			next++
+		}
+	}
+}
+
+// cmdEventually runs flamingoctl until its output matches: eventually SECONDS [-count=N] PATTERN ARGS...
+func cmdEventually(s *scene, ts *testscript.TestScript, args []string) {
+	seconds, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	args = args[1:]
+	count := 0
+	if value, ok := strings.CutPrefix(args[0], "-count="); ok {
+		count, err = strconv.Atoi(value)
+		ts.Check(err)
+		args = args[1:]
+	}
+	s.poll(ts, time.Duration(seconds*float64(time.Second)), args[0], args[1:], count)
+}
+
+func (s *scene) poll(ts *testscript.TestScript, limit time.Duration, pattern string, args []string, count int) {
+	expression, err := regexp.Compile("(?m)" + pattern)
+	ts.Check(err)
+	out := ""
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollPause) {
+		command := exec.Command(filepath.Join(programsFolder, "flamingoctl"), args...)
+		command.Env = []string{
+			"FLAMINGO_ENTRIES=" + ts.Getenv("FLAMINGO_ENTRIES"), "FLAMINGO_TOKEN_FILE=" + ts.Getenv("FLAMINGO_TOKEN_FILE"),
+		}
+		data, _ := command.CombinedOutput()
+		out = string(data)
+		found := len(expression.FindAllString(out, -1))
+		if count == 0 && found > 0 || count > 0 && found == count {
+			return
+		}
+	}
+	ts.Fatalf("no match for %q in time; the last output was:\n%s", pattern, out)
+}
+
+// cmdCall sends one request and checks its outcome: call [-bg] [-entry=N] OUTCOME METHOD PATH [CALLER KEY].
+func cmdCall(s *scene, ts *testscript.TestScript, args []string) {
+	address, background := s.cell.Balance(), false
+	for strings.HasPrefix(args[0], "-") {
+		if value, ok := strings.CutPrefix(args[0], "-entry="); ok {
+			n, err := strconv.Atoi(value)
+			ts.Check(err)
+			address = s.cell.EntryHTTP(n - 1)
+		}
+		background = background || args[0] == "-bg"
+		args = args[1:]
+	}
+	want := args[0]
+	request, err := http.NewRequest(args[1], "http://"+address+args[2], strings.NewReader("body"))
+	ts.Check(err)
+	if len(args) > 4 {
+		request.Header.Set("Flamingo-Caller", args[3])
+		request.Header.Set("Idempotency-Key", args[4])
+	}
+	if !background {
+		if got := outcomeOf(request); got != want {
+			ts.Fatalf("outcome %q, want %q", got, want)
+		}
+		return
+	}
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		if got := outcomeOf(request); got != want {
+			s.mu.Lock()
+			s.results = append(s.results, fmt.Sprintf("%s %s: outcome %q, want %q", args[1], args[2], got, want))
+			s.mu.Unlock()
+		}
+	}()
+}
+
+// outcomeOf returns the outcome of a request, with its reason unless it was answered.
+func outcomeOf(request *http.Request) string {
+	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "error: " + err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return "error: " + err.Error()
+	}
+	outcome := response.Header.Get("Flamingo-Outcome")
+	if why := response.Header.Get("Flamingo-Reason"); why != "" {
+		outcome += ":" + why
+	}
+	return outcome
+}
+
+// cmdCallWait waits for the background calls and checks their outcomes.
+func cmdCallWait(s *scene, ts *testscript.TestScript, _ []string) {
+	s.calls.Wait()
+	if len(s.results) > 0 {
+		ts.Fatalf("%s", strings.Join(s.results, "\n"))
+	}
+}
+
+// cmdTraffic starts or stops callers: traffic start SERVICE CALLERS PAUSE_MS WORK_MS | traffic stop MIN_ANSWERED.
+func cmdTraffic(s *scene, ts *testscript.TestScript, args []string) {
+	numbers := make([]int, 0, 3)
+	for _, text := range args[1:] {
+		if n, err := strconv.Atoi(text); err == nil {
+			numbers = append(numbers, n)
+		}
+	}
+	if args[0] == "start" {
+		s.traffic = traffic.Start(traffic.Config{
+			Balance: s.cell.Balance, Service: args[1], Oracle: s.oracle, Callers: numbers[0],
+			Pause: time.Duration(numbers[1]) * time.Millisecond, WorkMs: numbers[2],
+		})
+		return
+	}
+	results := s.traffic.Stop()
+	s.traffic = nil
+	counts := traffic.Counts(results)
+	reasons := map[string]int{}
+	for _, r := range results {
+		if r.Outcome != traffic.Answered {
+			reasons[string(r.Outcome)+":"+r.Reason]++
+		}
+	}
+	ts.Logf("outcomes %v, reasons %v", counts, reasons)
+	if counts[traffic.Answered] < numbers[0] {
+		ts.Fatalf("%d requests were answered, want at least %d", counts[traffic.Answered], numbers[0])
+	}
+	if len(args) > 2 && args[2] == "all" && counts[traffic.Answered] != len(results) {
+		ts.Fatalf("not every request was answered: %v %v", counts, reasons)
+	}
+}
+
+// cmdWorker changes a stand-in worker: worker cut|heal|fail|recover|stop N...
+func cmdWorker(s *scene, ts *testscript.TestScript, args []string) {
+	for _, text := range args[1:] {
+		n, err := strconv.Atoi(text)
+		ts.Check(err)
+		w := s.workers[n-1]
+		switch args[0] {
+		case "cut", "heal":
+			w.SetCut(args[0] == "cut")
+		case "fail", "recover":
+			w.SetFailing(args[0] == "fail")
+		case "stop":
+			w.Stop()
+		default:
+			ts.Fatalf("unknown action %s", args[0])
+		}
+	}
+}
+
+// cmdReady waits until an entry process is ready, or not ready: ready SECONDS yes|no N.
+func cmdReady(s *scene, ts *testscript.TestScript, args []string) {
+	seconds, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	n, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); ; time.Sleep(pollPause) {
+		if launcher.Ready(s.cell.EntryHTTP(n-1)) == (args[1] == "yes") {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("entry-%d: ready is not %s in time", n, args[1])
+		}
+	}
+}
+
+// cmdVoter waits until a control process says that it is a voter: voter SECONDS NAME.
+func cmdVoter(s *scene, ts *testscript.TestScript, args []string) {
+	seconds, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	for end := time.Now().Add(time.Duration(seconds * float64(time.Second))); ; time.Sleep(pollPause) {
+		if health, ok := s.cell.ControlStatus(args[1]); ok && health.Voter {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("%s is not a voter in time", args[1])
+		}
+	}
+}
+
+func cmdSleep(_ *scene, ts *testscript.TestScript, args []string) {
+	duration, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(duration)
+}
+
+// cmdRepeat runs flamingoctl several times: repeat N ARGS...
+func cmdRepeat(_ *scene, ts *testscript.TestScript, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for range n {
+		ts.Check(ts.Exec("flamingoctl", args[1:]...))
+	}
+}
+
+// cmdCheck fails when the oracle saw a broken promise.
+func cmdCheck(s *scene, ts *testscript.TestScript, _ []string) {
+	if violations := s.oracle.Violations(); len(violations) > 0 {
+		ts.Fatalf("%s", strings.Join(violations, "\n"))
+	}
+}
--- a/standin/internal/launcher/launcher.go
+++ b/standin/internal/launcher/launcher.go
@@ -362,19 +362,33 @@
 	return nil
 }
 
-// Leader returns the name of the control process that says that it leads; empty when none does.
-func (l *Launcher) Leader() string {
-	for i, name := range l.Names("control-") {
+// Health is what a control process says of itself.
+type Health struct {
+	Role  string `json:"role"`
+	Voter bool   `json:"voter"`
+}
+
+// ControlStatus asks a control process for its health; ok is false when it does not answer.
+func (l *Launcher) ControlStatus(name string) (health Health, ok bool) {
+	for i, other := range l.Names("control-") {
+		if other != name {
+			continue
+		}
 		response, err := probe.Get("http://" + l.ControlHealth(i) + "/healthz")
 		if err != nil {
-			continue
+			return health, false
 		}
-		status := struct {
-			Role string `json:"role"`
-		}{}
-		err = json.NewDecoder(response.Body).Decode(&status)
-		_ = response.Body.Close()
-		if err == nil && status.Role == "leader" {
+		defer func() { _ = response.Body.Close() }()
+		err = json.NewDecoder(response.Body).Decode(&health)
+		return health, err == nil
+	}
+	return health, false
+}
+
+// Leader returns the name of the control process that says that it leads; empty when none does.
+func (l *Launcher) Leader() string {
+	for _, name := range l.Names("control-") {
+		if health, ok := l.ControlStatus(name); ok && health.Role == "leader" {
 			return name
 		}
 	}
--- /dev/null
+++ b/standin/internal/traffic/traffic.go
@@ -0,0 +1,153 @@
+// Package traffic plays callers: each sends requests one after another and checks that every answer belongs to it.
+package traffic
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"flamingodrift.example/standin/internal/oracle"
+)
+
+const (
+	requestTimeout = 8 * time.Second
+	resendPause    = 50 * time.Millisecond
+	maxResends     = 3
+)
+
+// Config describes the callers.
+type Config struct {
+	// Balance returns the address of an entry process for the next request.
+	Balance func() string
+	Service string
+	Oracle  *oracle.Oracle
+	Callers int
+	// Pause is the time between two requests of one caller.
+	Pause time.Duration
+	// WorkMs is how long the target works on each request.
+	WorkMs int
+}
+
+// Outcome is how a request ended for its caller.
+type Outcome string
+
+// Outcomes, as in the header Flamingo-Outcome.
+const (
+	Answered Outcome = "answered"
+	NotRun   Outcome = "not_run"
+	Unknown  Outcome = "outcome_unknown"
+)
+
+// Result is the final outcome of one non-idempotent request.
+type Result struct {
+	Caller, Key string
+	Outcome     Outcome
+	Reason      string
+	Resends     int
+}
+
+// Traffic sends requests until it is stopped.
+type Traffic struct {
+	cfg    Config
+	client *http.Client
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	results []Result
+}
+
+// Start begins to send.
+func Start(cfg Config) *Traffic {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Traffic{cfg: cfg, cancel: cancel, client: &http.Client{
+		Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
+	for i := range cfg.Callers {
+		t.wg.Add(1)
+		go t.caller(ctx, fmt.Sprintf("caller-%d", i))
+	}
+	return t
+}
+
+func (t *Traffic) caller(ctx context.Context, name string) {
+	defer t.wg.Done()
+	for n := 0; ctx.Err() == nil; n++ {
+		result := t.request(name, fmt.Sprintf("%s-%d", name, n))
+		t.mu.Lock()
+		t.results = append(t.results, result)
+		t.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(t.cfg.Pause):
+		}
+	}
+}
+
+// request sends one request and, while its outcome is unknown, sends it again with the same key, as a caller does whose
+// answer was lost.
+func (t *Traffic) request(caller, key string) Result {
+	result := Result{Caller: caller, Key: key}
+	for {
+		result.Outcome, result.Reason = t.send(caller, key)
+		if result.Outcome != Unknown || result.Resends == maxResends {
+			return result
+		}
+		result.Resends++
+		time.Sleep(resendPause)
+	}
+}
+
+// send sends a request once. An error on the caller's own connection leaves the outcome unknown.
+func (t *Traffic) send(caller, key string) (Outcome, string) {
+	url := fmt.Sprintf("http://%s/call/%s/sleep/%d", t.cfg.Balance(), t.cfg.Service, t.cfg.WorkMs)
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(key))
+	if err != nil {
+		return NotRun, err.Error()
+	}
+	request.Header.Set("Flamingo-Caller", caller)
+	request.Header.Set("Idempotency-Key", key)
+	response, err := t.client.Do(request)
+	if err != nil {
+		return Unknown, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Unknown, err.Error()
+	}
+	outcome := Outcome(response.Header.Get("Flamingo-Outcome"))
+	if outcome == Answered && (!strings.HasSuffix(string(body), " "+key) || response.Header.Get("Standin-Caller") != caller) {
+		t.cfg.Oracle.Violate(fmt.Sprintf("%s got %q as the answer to %s", caller, body, key))
+	}
+	return outcome, response.Header.Get("Flamingo-Reason")
+}
+
+// Stop ends the callers and checks every outcome against what the targets ran.
+func (t *Traffic) Stop() []Result {
+	t.cancel()
+	t.wg.Wait()
+	for _, r := range t.results {
+		ran := t.cfg.Oracle.Executions(r.Caller, r.Key)
+		switch {
+		case r.Outcome == Answered && ran != 1:
+			t.cfg.Oracle.Violate(fmt.Sprintf("%s was answered but ran %d times", r.Key, ran))
+		case r.Outcome == NotRun && ran != 0:
+			t.cfg.Oracle.Violate(fmt.Sprintf("%s was reported as not run (%s) but ran %d times", r.Key, r.Reason, ran))
+		}
+	}
+	return t.results
+}
+
+// Counts returns how many results had each outcome.
+func Counts(results []Result) map[Outcome]int {
+	counts := map[Outcome]int{}
+	for _, r := range results {
+		counts[r.Outcome]++
+	}
+	return counts
+}
