Format standin

Cause: the linter found one struct tag block not formatted by gofumpt after the survey command was added. Change: formatted; no behaviour changes. Conclusion: linter reports 0 issues again.

--- a/standin/main.go
+++ b/standin/main.go
@@ -29,7 +29,7 @@
 
 type arguments struct {
 	Survey *surveyCommand `arg:"subcommand:survey" help:"measure what the daemons use as the number of workers grows"`
-	Demo *demoCommand `arg:"subcommand:demo" help:"start a whole cell on loopback, apply an example sheet, print what runs, waits and why"`
+	Demo   *demoCommand   `arg:"subcommand:demo" help:"start a whole cell on loopback, apply an example sheet, print what runs, waits and why"`
 }
 
 // Description is shown by --help.
