Report every error of a sheet and read equal exports as equal

Ruled out: making the digest independent of row order. Rows that are new in a sheet are served in its order, so the order is content.

Change: quoting errors are reported and reading goes on with the next record; problems are sorted by line and column and the number of unlisted ones is stated; text that is not UTF-8 is refused at its position, also where an encoder has already put U+FFFD; control characters other than tabs and line ends are refused.

Conclusion: planners see all their errors at once, and the same sheet exported twice is the same sheet.

--- a/core/sheet/columns.go
+++ b/core/sheet/columns.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"flamingodrift.example/core/wire"
 )
@@ -74,6 +74,11 @@
 		if len(v) > maxCommandBytes {
 			return fmt.Errorf("longer than %d bytes", maxCommandBytes)
 		}
+		for _, r := range v {
+			if unicode.IsControl(r) && r != '\t' && r != '\n' {
+				return fmt.Errorf("holds the control character %U; allowed: tabs and line ends", r)
+			}
+		}
 		job.Command = v
 		return nil
 	}},
@@ -160,12 +165,14 @@
 	return n, nil
 }
 
-// processors parses a decimal number of processors, with a point or a comma, into thousandths.
+// processors parses a decimal number of processors, with a point or a comma, into thousandths. Notations that a
+// spreadsheet does not export, such as 1e3 or 0x10, and more than three decimals are refused rather than guessed.
 func processors(value string) (int64, error) {
-	n, err := strconv.ParseFloat(strings.Replace(value, ",", ".", 1), 64)
-	milli := math.Round(n * 1000)
-	if err != nil || math.IsNaN(n) || milli < 1 || milli > maxCPUMilli {
+	whole, decimals, _ := strings.Cut(strings.Replace(value, ",", ".", 1), ".")
+	decimals = strings.TrimRight(decimals, "0")
+	n, err := strconv.ParseUint(whole+(decimals + "000")[:max(3, len(decimals))], 10, 32)
+	if err != nil || whole == "" || len(decimals) > 3 || n < 1 || n > maxCPUMilli {
 		return 0, fmt.Errorf("%q is not a number of processors from 0.001 to %d", value, maxCPUMilli/1000)
 	}
-	return int64(milli), nil
+	return int64(n), nil
 }
--- a/core/sheet/sheet.go
+++ b/core/sheet/sheet.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -64,15 +65,22 @@
 	problems []Problem
 	columns  []*column
 	seen     map[string]int
+	data     []byte
+	// unlisted counts the problems beyond MaxErrors.
+	unlisted int
 }
 
-// Parse reads and checks a sheet. A wrong sheet returns an *Error with every problem, up to MaxErrors.
+// Parse reads and checks a sheet: CSV in UTF-8, at most MaxBytes and MaxRows. A wrong sheet returns an *Error with every
+// problem by line and column, up to MaxErrors and a count of the others.
 func Parse(data []byte) (*Sheet, error) {
 	if len(data) > MaxBytes {
 		return nil, &Error{Problems: []Problem{{Line: 1, Column: 1, Text: fmt.Sprintf("sheet is larger than %d bytes", MaxBytes)}}}
 	}
-	data = bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))
-	p := &parser{reader: csv.NewReader(bytes.NewReader(data)), seen: map[string]int{}}
+	data = bytes.TrimPrefix(data, byteOrderMark)
+	if line, col, found := findForeignText(data); found {
+		return nil, &Error{Problems: []Problem{{Line: line, Column: col, Text: "the sheet is not UTF-8 text; export it as CSV UTF-8"}}}
+	}
+	p := &parser{reader: csv.NewReader(bytes.NewReader(data)), seen: map[string]int{}, data: data}
 	p.reader.FieldsPerRecord = -1
 	p.reader.Comma = delimiter(data)
 	s := &Sheet{}
@@ -84,42 +92,46 @@
 		s.jobs = p.readRows()
 	}
 	if len(p.problems) > 0 {
-		return nil, &Error{Problems: p.problems}
+		return nil, &Error{Problems: p.sorted()}
 	}
 	s.digest = digest(s.jobs)
 	return s, nil
 }
 
-// delimiter returns the separator of the first line: spreadsheets export semicolons in some locales.
-func delimiter(data []byte) rune {
-	line, _, _ := bytes.Cut(data, []byte("\n"))
-	if bytes.Count(line, []byte(";")) > bytes.Count(line, []byte(",")) {
-		return ';'
-	}
-	return ','
-}
-
 func (p *parser) fail(line, col int, format string, args ...any) {
 	if len(p.problems) < MaxErrors {
 		p.problems = append(p.problems, Problem{Line: line, Column: col, Text: fmt.Sprintf(format, args...)})
+	} else {
+		p.unlisted++
+	}
+}
+
+// sorted returns the problems by line and column, and how many were left out.
+func (p *parser) sorted() []Problem {
+	sort.SliceStable(p.problems, func(a, b int) bool {
+		x, y := p.problems[a], p.problems[b]
+		return x.Line < y.Line || x.Line == y.Line && x.Column < y.Column
+	})
+	if p.unlisted > 0 {
+		last := p.problems[len(p.problems)-1]
+		p.problems = append(p.problems, Problem{
+			Line: last.Line, Column: last.Column, Text: fmt.Sprintf("%d further errors are not listed", p.unlisted),
+		})
 	}
+	return p.problems
 }
 
-// next returns the next record that is not blank; nil at the end or after a CSV error.
+// next returns the next record that is not blank; nil at the end. Records with wrong quotes are reported and skipped, so
+// that the errors after them are found too.
 func (p *parser) next() []string {
 	for {
 		record, err := p.reader.Read()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
-		var parseError *csv.ParseError
-		if errors.As(err, &parseError) {
-			p.fail(parseError.Line, parseError.Column, "%v", parseError.Err)
-			return nil
-		}
 		if err != nil {
-			p.fail(1, 1, "%v", err)
-			return nil
+			p.failQuotes(err)
+			continue
 		}
 		if strings.TrimSpace(strings.Join(record, "")) != "" {
 			return record
@@ -127,12 +139,36 @@
 	}
 }
 
+func (p *parser) failQuotes(err error) {
+	var wrong *csv.ParseError
+	switch {
+	case len(p.problems) >= MaxErrors:
+		// Finding the position in the data takes time, so it is left out for errors that are only counted.
+		p.unlisted++
+	case !errors.As(err, &wrong):
+		p.fail(1, 1, "%v", err)
+	case errors.Is(wrong.Err, csv.ErrBareQuote):
+		p.fail(wrong.Line, wrong.Column, "a quote stands inside an unquoted field; quote the field and double the quote")
+	case byteAt(p.data, wrong.Line, wrong.Column) == '"':
+		p.fail(wrong.Line, wrong.Column, "text follows a closing quote; double a quote inside a field")
+	default:
+		// The reader has read on to the end of the file, so that line says nothing.
+		p.fail(wrong.StartLine, 1, "a quoted field of this row does not end")
+	}
+}
+
 func (p *parser) readNumber() uint64 {
 	record := p.next()
-	if len(record) < 2 || strings.TrimSpace(record[0]) != "sheet" {
+	if len(record) < 2 || !strings.EqualFold(strings.TrimSpace(record[0]), "sheet") {
 		p.fail(1, 1, "the first line must be: sheet,NUMBER")
 		return 0
 	}
+	for i, value := range record[2:] {
+		if strings.TrimSpace(value) != "" {
+			line, col := p.reader.FieldPos(2 + i)
+			p.fail(line, col, "the first line must be: sheet,NUMBER, but also holds %q", value)
+		}
+	}
 	number, err := strconv.ParseUint(strings.TrimSpace(record[1]), 10, 63)
 	if err != nil || number == 0 {
 		line, col := p.reader.FieldPos(1)
@@ -153,15 +189,20 @@
 		line, col := p.reader.FieldPos(i)
 		c := findColumn(name)
 		switch {
-		case name == "" && i == len(record)-1:
-			// A separator at the end of each line exports as an empty last column.
+		case name == "" && strings.TrimSpace(strings.Join(record[i:], "")) == "":
+			// Spreadsheets export columns that were once in use as empty columns at the end.
 			c = &column{}
+		case name == "":
+			p.fail(line, col, "a column before the last one has no name")
 		case c == nil:
 			p.fail(line, col, "column %q is unknown; known: %s", name, columnNames())
 		case present[name]:
 			p.fail(line, col, "column %q appears twice", name)
 		}
 		present[name] = true
+		if c == nil {
+			c = &column{}
+		}
 		p.columns = append(p.columns, c)
 	}
 	for _, c := range columns {
@@ -187,18 +228,17 @@
 
 func (p *parser) readRow(line int, record []string) *wire.JobSpec {
 	job := &wire.JobSpec{Resources: &wire.Resources{}}
-	if len(record) > len(p.columns) {
-		_, col := p.reader.FieldPos(len(p.columns))
-		p.fail(line, col, "row has %d fields, but there are %d columns", len(record), len(p.columns))
-	}
 	positions := map[string]int{}
 	given := map[string]bool{}
 	for i, value := range record {
+		value = strings.TrimSpace(value)
+		fieldLine, col := p.reader.FieldPos(i)
 		if i >= len(p.columns) || p.columns[i].set == nil {
+			if value != "" {
+				p.fail(fieldLine, col, "%q stands in a column without a name", value)
+			}
 			continue
 		}
-		value = strings.TrimSpace(value)
-		fieldLine, col := p.reader.FieldPos(i)
 		positions[p.columns[i].name] = col
 		if value == "" {
 			continue
@@ -241,7 +281,8 @@
 	h := sha256.New()
 	for _, job := range jobs {
 		r := job.GetResources()
-		// The text is unambiguous because quoted fields cannot contain an unescaped quote.
+		// The text is unambiguous because quoted fields cannot contain an unescaped quote. The order of rows counts: rows
+		// that are new in a sheet are served in its order.
 		fmt.Fprintf(h, "%q %q %d %d %d %d %d %d %d %d %q %q %t\n", job.GetKey(), job.GetTeam(), job.GetKind(), job.GetTasks(),
 			r.GetCpuMilli(), r.GetMemoryMb(), r.GetAccelerators(), job.GetUrgency(), job.GetExpectedRunMs(), job.GetSpread(),
 			job.GetRun(), job.GetCommand(), job.GetNeverRestart())
