Answer a resent change as at first, and keep runs that a sheet cut short

Ruled out: ignoring the expected revision for a sheet that is in force already. Every change carries the revision it was made from; a stale one is a conflict even if it would change nothing.

The digest of a change covers its content, not its notation nor the expected revision. Unknown body fields and a missing expected_revision are refused. A run cut short by a sheet is kept for 7 days and resumes when its row returns; an operator's cancellation of a run is final. Controller.Change no longer reads the result after a timeout, when the control thread may still write it.

Conclusion: an operator can resend any change safely, and a truncated export loses no settlement.

--- a/controld/internal/cell/cell.go
+++ b/controld/internal/cell/cell.go
@@ -27,6 +27,8 @@
 	MaxHistory = 1_000
 	// MaxStopPercent is the share of active tasks that a sheet may stop without a confirmation.
 	MaxStopPercent = 20
+	// ReturnDays is how long a run that its row's removal cut short is kept, so that it resumes when the row returns.
+	ReturnDays = 7
 	// FinishedRunDays is how long a finished run is remembered after its row left the sheet.
 	FinishedRunDays = 35
 )
@@ -77,22 +79,8 @@
 func (c *Cell) Apply(command *wire.Command) *wire.Result {
 	now := command.GetNowUnixMs()
 	switch body := command.GetBody().(type) {
-	case *wire.Command_Configure:
-		return c.operate(body.Configure.GetChange(), now, func() *wire.Result {
-			return c.configure(body.Configure.GetConfig())
-		})
-	case *wire.Command_ApplySheet:
-		return c.operate(body.ApplySheet.GetChange(), now, func() *wire.Result {
-			return c.applySheet(body.ApplySheet, now)
-		})
-	case *wire.Command_CancelJob:
-		return c.operate(body.CancelJob.GetChange(), now, func() *wire.Result {
-			return c.cancel(body.CancelJob.GetKey(), now)
-		})
-	case *wire.Command_DrainWorker:
-		return c.operate(body.DrainWorker.GetChange(), now, func() *wire.Result {
-			return c.drain(body.DrainWorker)
-		})
+	case *wire.Command_Configure, *wire.Command_ApplySheet, *wire.Command_CancelJob, *wire.Command_DrainWorker:
+		return c.operate(c.operationOf(command), now)
 	case *wire.Command_Decisions:
 		c.decide(body.Decisions, now)
 	case *wire.Command_WorkerEvents:
@@ -115,49 +103,6 @@
 	return &wire.Result{Reason: r.String(), Detail: fmt.Sprintf(format, args...)}
 }
 
-// operate applies an operator's change once, if it was made from the present revision.
-func (c *Cell) operate(ch *wire.Change, now int64, apply func() *wire.Result) *wire.Result {
-	if known := c.changes.Find(ch); known != nil {
-		return known
-	}
-	if ch.GetExpectedRevision() != c.revision {
-		return refuse(reason.Conflict, "the revision is %d, not %d; since then: %s",
-			c.revision, ch.GetExpectedRevision(), c.changesSince(ch.GetExpectedRevision()))
-	}
-	result := apply()
-	if result.GetReason() != "" {
-		return result
-	}
-	c.revision++
-	result.Revision = c.revision
-	c.changes.Add(ch, result)
-	c.history = append(c.history, &wire.HistoryEntry{
-		Revision: c.revision, AtUnixMs: now, Operator: ch.GetOperator(), Text: result.GetDetail(),
-	})
-	if len(c.history) > MaxHistory {
-		c.history = append([]*wire.HistoryEntry(nil), c.history[len(c.history)-MaxHistory:]...)
-	}
-	return result
-}
-
-func (c *Cell) changesSince(revision uint64) string {
-	const shown = 5
-	text, count := "", 0
-	for i := len(c.history) - 1; i >= 0 && c.history[i].GetRevision() > revision; i-- {
-		if count++; count <= shown {
-			h := c.history[i]
-			text += fmt.Sprintf("revision %d by %s: %s; ", h.GetRevision(), h.GetOperator(), h.GetText())
-		}
-	}
-	if count > shown {
-		text += fmt.Sprintf("and %d more; ", count-shown)
-	}
-	if text == "" {
-		return "nothing; that revision does not exist"
-	}
-	return text[:len(text)-2]
-}
-
 func (c *Cell) configure(config *wire.Config) *wire.Result {
 	if len(config.GetTeams()) > MaxTeams {
 		return refuse(reason.LimitReached, "at most %d teams", MaxTeams)
@@ -182,10 +127,10 @@
 }
 
 func (c *Cell) cancel(key string, now int64) *wire.Result {
-	found := false
+	found, waiting, active := false, 0, 0
 	for id, j := range c.jobs {
 		if id == key || j.Spec().GetKey() == key {
-			found = true
+			found, waiting, active = true, waiting+j.Waiting(), active+j.Active()
 			j.Cancel(now)
 			c.touch(j)
 		}
@@ -193,7 +138,7 @@
 	if !found {
 		return refuse(reason.NotFound, "no job %q", key)
 	}
-	return &wire.Result{Detail: "cancel job " + key}
+	return &wire.Result{Detail: fmt.Sprintf("cancel job %s: %d tasks waited, %d stop", key, waiting, active)}
 }
 
 // touch keeps the indexes in step with a changed job.
--- a/controld/internal/cell/sheet.go
+++ b/controld/internal/cell/sheet.go
@@ -18,8 +18,10 @@
 	Start  []string `json:"start"`
 	Change []string `json:"change"`
 	Stop   []string `json:"stop"`
-	// AlreadyRun lists runs that have finished and will not run again.
+	// AlreadyRun lists runs that have finished or were cancelled by an operator; they will not run again.
 	AlreadyRun []string `json:"already_run"`
+	// Resume lists rows that return; what has not finished of them goes on.
+	Resume []string `json:"resume"`
 	// StoppedTasks counts the active tasks that would stop.
 	StoppedTasks int `json:"stopped_tasks"`
 	// ActiveTasks counts all tasks that may be running now.
@@ -33,7 +35,7 @@
 
 // Preview compares a sheet with what is in force.
 func (c *Cell) Preview(specs []*wire.JobSpec) *Preview {
-	p := &Preview{}
+	p := &Preview{Start: []string{}, Change: []string{}, Stop: []string{}, AlreadyRun: []string{}, Resume: []string{}}
 	listed := make(map[string]bool, len(specs))
 	for _, spec := range specs {
 		id := job.ID(spec)
@@ -44,9 +46,12 @@
 			p.AlreadyRun = append(p.AlreadyRun, id)
 		case j == nil:
 			p.Start = append(p.Start, id)
-		case j.Finished() && spec.GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced():
+		case spent(j):
 			p.AlreadyRun = append(p.AlreadyRun, id)
-		case j.Removed() || !proto.Equal(j.Spec(), spec):
+		case j.Removed():
+			p.Resume = append(p.Resume, id)
+			p.StoppedTasks += surplus(j, spec)
+		case !proto.Equal(j.Spec(), spec):
 			p.Change = append(p.Change, id)
 			p.StoppedTasks += surplus(j, spec)
 		}
@@ -96,38 +101,48 @@
 }
 
 func (c *Cell) applySheet(s *wire.ApplySheet, now int64) *wire.Result {
-	same, refusal := c.CheckSheet(s.GetNumber(), s.GetDigest())
-	if refusal != nil {
+	if _, refusal := c.CheckSheet(s.GetNumber(), s.GetDigest()); refusal != nil {
 		return refusal
 	}
-	if same {
-		return &wire.Result{Detail: fmt.Sprintf("sheet %d was already in force", s.GetNumber())}
-	}
 	preview := c.Preview(s.GetJobs())
 	if preview.NeedsConfirmation() && int(s.GetConfirmedStops()) != preview.StoppedTasks {
 		return refuse(reason.StopsUnconfirmed, "the sheet stops %d of %d active tasks; confirm that number",
 			preview.StoppedTasks, preview.ActiveTasks)
 	}
-	if limit := c.checkLimits(s.GetJobs(), preview); limit != nil {
+	if limit := c.checkLimits(s.GetJobs()); limit != nil {
 		return limit
 	}
 	c.replaceJobs(s.GetJobs(), preview, now)
 	c.sheetNumber, c.sheetDigest = s.GetNumber(), s.GetDigest()
-	return &wire.Result{Detail: fmt.Sprintf("sheet %d: %d started, %d changed, %d removed, %d already run",
-		s.GetNumber(), len(preview.Start), len(preview.Change), len(preview.Stop), len(preview.AlreadyRun))}
+	return &wire.Result{Detail: fmt.Sprintf("sheet %d: %d started, %d changed, %d resumed, %d removed, %d already run",
+		s.GetNumber(), len(preview.Start), len(preview.Change), len(preview.Resume), len(preview.Stop), len(preview.AlreadyRun))}
 }
 
-// checkLimits counts what the cell would hold while removed jobs still drain.
-func (c *Cell) checkLimits(specs []*wire.JobSpec, preview *Preview) *wire.Result {
-	tasks := 0
+// checkLimits counts what the cell would hold, with the jobs and tasks of earlier sheets that still run.
+func (c *Cell) checkLimits(specs []*wire.JobSpec) *wire.Result {
+	tasks, jobs := 0, len(specs)
+	listed := make(map[string]bool, len(specs))
 	for _, spec := range specs {
+		id := job.ID(spec)
+		listed[id] = true
 		tasks += int(spec.GetTasks())
+		if j := c.jobs[id]; j != nil {
+			tasks += surplus(j, spec)
+		}
+	}
+	for id, j := range c.jobs {
+		if !listed[id] && j.Active() > 0 {
+			tasks += j.Active()
+			jobs++
+		}
 	}
-	if tasks+preview.StoppedTasks > MaxTasks {
-		return refuse(reason.LimitReached, "at most %d tasks, with those that still drain", MaxTasks)
+	if tasks > MaxTasks {
+		return refuse(reason.LimitReached, "at most %d tasks, with those that still run for earlier sheets; this would make %d",
+			MaxTasks, tasks)
 	}
-	if len(specs)+len(preview.Stop) > MaxJobs {
-		return refuse(reason.LimitReached, "at most %d jobs, with those that still drain", MaxJobs)
+	if jobs > MaxJobs {
+		return refuse(reason.LimitReached, "at most %d jobs, with those that still run for earlier sheets; this would make %d",
+			MaxJobs, jobs)
 	}
 	return nil
 }
@@ -147,7 +162,7 @@
 			c.nextOrder++
 			j = job.New(spec, c.nextOrder, now)
 			c.jobs[id] = j
-		case j.Finished() && spec.GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced():
+		case spent(j):
 			continue
 		default:
 			j.Update(spec, now)
@@ -162,13 +177,16 @@
 	c.forget(listed, now)
 }
 
-// forget drops jobs that have ended and left the sheet. Runs leave a mark, so that they do not start again.
+// forget drops jobs that have ended and left the sheet. Runs leave a mark, so that they do not start again; a run that
+// was cut short is kept for ReturnDays, because a cut-off export may have dropped its row by mistake, unless the cell
+// holds more than MaxJobs.
 func (c *Cell) forget(listed map[string]bool, now int64) {
+	full := len(c.jobs) > MaxJobs
 	for id, j := range c.jobs {
-		if listed[id] || !j.Finished() {
+		if listed[id] || !j.Finished() || !full && cutShort(j) && now-endedAt(j) <= ReturnDays*dayMs {
 			continue
 		}
-		if j.Spec().GetKind() != wire.JobKind_JOB_KIND_SERVICE && j.EverPlaced() {
+		if isRun(j.Spec()) && (j.EverPlaced() || cancelledByOperator(j)) {
 			c.finished[hashRun(id)] = now / dayMs
 		}
 		delete(c.jobs, id)
--- a/controld/internal/controller/event.go
+++ b/controld/internal/controller/event.go
@@ -189,8 +189,11 @@
 		},
 		fail: done.put,
 	}
-	refusal := c.await(ctx, e, done)
-	return result, refusal
+	if refusal := c.await(ctx, e, done); refusal != nil {
+		// The control thread may still write the result after a timeout.
+		return nil, refusal
+	}
+	return result, nil
 }
 
 func (c *Controller) await(ctx context.Context, e event, done *once[*wire.Refusal]) *wire.Refusal {
--- a/controld/internal/job/job.go
+++ b/controld/internal/job/job.go
@@ -195,7 +195,10 @@
 		t.failedOn = appendBounded(t.failedOn, worker)
 	}
 	switch {
-	case stopReason == reason.Cancelled.String() || stopReason == reason.RemovedFromSheet.String() || j.removed && service:
+	case j.wanted(t) && stopReason == reason.RemovedFromSheet.String():
+		// The row returned, or grew again, while the task stopped for an earlier sheet.
+		t.set(wire.TaskState_TASK_STATE_WAITING, nowUnixMs)
+	case !j.wanted(t) && (stopReason == reason.Cancelled.String() || stopReason == reason.RemovedFromSheet.String()) || j.removed && service:
 		t.set(wire.TaskState_TASK_STATE_CANCELLED, nowUnixMs)
 		t.detail = stopReason
 	case j.spec.GetNeverRestart():
@@ -208,6 +211,9 @@
 	}
 }
 
+// wanted reports whether the sheet in force asks for the task.
+func (j *Job) wanted(t *Task) bool { return !j.removed && t.index < j.spec.GetTasks() }
+
 // restartGroup asks the rest of an all-at-once job to stop, because its tasks run together or not at all.
 func (j *Job) restartGroup(ended *Task, nowUnixMs int64) {
 	if j.spec.GetKind() != wire.JobKind_JOB_KIND_ALL_AT_ONCE {
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -1,14 +1,18 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"flamingodrift.example/controld/internal/cell"
 	"flamingodrift.example/controld/internal/controller"
 	"flamingodrift.example/controld/internal/explainer"
@@ -17,18 +21,22 @@
 	"flamingodrift.example/core/wire"
 )
 
-// maxIDBytes bounds change ids.
-const maxIDBytes = 128
+const (
+	// maxIDBytes bounds change ids.
+	maxIDBytes = 128
+	// maxNameBytes bounds the names of jobs, tasks, workers and targets: a key, a run and an index at most.
+	maxNameBytes = 300
+)
 
 // changeBody is the body of every operator request; each action reads the fields that it needs.
 type changeBody struct {
-	ChangeID         string `json:"change_id"`
-	ExpectedRevision uint64 `json:"expected_revision"`
-	Key              string `json:"key"`
-	Sheet            string `json:"sheet"`
-	ConfirmStops     uint32 `json:"confirm_stops"`
-	Worker           string `json:"worker"`
-	Config           string `json:"config_text"`
+	ChangeID         string  `json:"change_id"`
+	ExpectedRevision *uint64 `json:"expected_revision"`
+	Key              string  `json:"key"`
+	Sheet            string  `json:"sheet"`
+	ConfirmStops     uint32  `json:"confirm_stops"`
+	Worker           string  `json:"worker"`
+	Config           string  `json:"config_text"`
 }
 
 // accepted is the answer to a change.
@@ -38,11 +46,9 @@
 }
 
 func (s *Server) operate(ctx context.Context, request *wire.OperateRequest) *wire.Reply {
-	body := &changeBody{}
-	if len(request.GetBody()) > 0 {
-		if err := json.Unmarshal(request.GetBody(), body); err != nil {
-			return invalid("body is not valid JSON: %v", err)
-		}
+	body, problem := decodeBody(request.GetBody())
+	if problem != nil {
+		return problem
 	}
 	switch request.GetAction() {
 	case "status":
@@ -64,6 +70,26 @@
 	}
 }
 
+// decodeBody refuses unknown fields: a misspelt confirm_stops or expected_revision must not be taken as absent.
+func decodeBody(data []byte) (*changeBody, *wire.Reply) {
+	body := &changeBody{}
+	if len(data) == 0 {
+		return body, nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		return nil, invalid("body is not valid: %v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, invalid("body is not valid: more follows after the first JSON value")
+	}
+	if len(body.Key) > maxNameBytes || len(body.Worker) > maxNameBytes {
+		return nil, invalid("key and worker must have at most %d bytes", maxNameBytes)
+	}
+	return body, nil
+}
+
 func invalid(format string, args ...any) *wire.Reply {
 	return reply(http.StatusBadRequest, &Problem{Reason: reason.RequestInvalid.String(), Detail: fmt.Sprintf(format, args...)})
 }
@@ -138,14 +164,17 @@
 	if body.ChangeID == "" || len(body.ChangeID) > maxIDBytes {
 		return invalid("change_id must have 1 to %d bytes", maxIDBytes)
 	}
-	digest := sha256.Sum256(append([]byte(request.GetAction()+"\n"), request.GetBody()...))
+	if body.ExpectedRevision == nil {
+		return invalid("expected_revision must be given: the revision that the change was made from")
+	}
 	change := &wire.Change{
-		Id: body.ChangeID, Operator: request.GetOperator(), ExpectedRevision: body.ExpectedRevision, Digest: digest[:],
+		Id: body.ChangeID, Operator: request.GetOperator(), ExpectedRevision: *body.ExpectedRevision,
 	}
 	command, problem := buildCommand(request.GetAction(), change, body)
 	if problem != nil {
 		return problem
 	}
+	change.Digest = contentDigest(command)
 	result, refusal := s.controller.Change(ctx, command)
 	switch {
 	case refusal != nil:
@@ -153,8 +182,31 @@
 	case result.GetReason() == "":
 		return reply(http.StatusOK, &accepted{Revision: result.GetRevision(), Detail: result.GetDetail()})
 	default:
-		return reply(statusOf(reason.Reason(result.GetReason())), &Problem{Reason: result.GetReason(), Detail: result.GetDetail()})
+		return reply(statusOf(reason.Reason(result.GetReason())), &Problem{
+			Reason: result.GetReason(), Detail: result.GetDetail(), Revision: result.GetRevision(),
+		})
+	}
+}
+
+// contentDigest identifies what a change asks for, whatever its notation and the revision it was made from. So a change
+// that is sent again after a lost answer gets its first answer, also when the sender has read a newer revision since.
+func contentDigest(command *wire.Command) []byte {
+	content := proto.Clone(command).(*wire.Command)
+	switch body := content.GetBody().(type) {
+	case *wire.Command_ApplySheet:
+		body.ApplySheet.Change = nil
+	case *wire.Command_Configure:
+		body.Configure.Change = nil
+	case *wire.Command_CancelJob:
+		body.CancelJob.Change = nil
+	case *wire.Command_DrainWorker:
+		body.DrainWorker.Change = nil
 	}
+	// Fields are written in the order of their numbers; there are no maps. An error means text that is not UTF-8, which
+	// JSON decoding rules out.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(content)
+	digest := sha256.Sum256(data)
+	return digest[:]
 }
 
 func buildCommand(action string, change *wire.Change, body *changeBody) (*wire.Command, *wire.Reply) {
--- /dev/null
+++ b/controld/internal/server/operate_test.go
@@ -0,0 +1,50 @@
+package server
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/wire"
+)
+
+func digestOf(t *testing.T, action string, revision uint64, body string) []byte {
+	parsed, problem := decodeBody([]byte(body))
+	require.Nil(t, problem)
+	command, problem := buildCommand(action, &wire.Change{Id: "x", ExpectedRevision: revision}, parsed)
+	require.Nil(t, problem)
+	return contentDigest(command)
+}
+
+// TestContentDigest guards against a resent change being taken for another because of its notation or a newer
+// revision, and against two different changes being taken for one.
+func TestContentDigest(t *testing.T) {
+	first := digestOf(t, "drain", 1, `{"worker":"w"}`)
+	require.Equal(t, first, digestOf(t, "drain", 2, `{ "change_id": "x", "worker": "w" }`))
+	require.NotEqual(t, first, digestOf(t, "undrain", 1, `{"worker":"w"}`))
+	require.NotEqual(t, first, digestOf(t, "drain", 1, `{"worker":"v"}`))
+	sheet := `sheet,1\nkey,team,kind,processors,memory_mb,command\na,t,batch,1,1,x\n`
+	applied := digestOf(t, "apply", 1, `{"sheet":"`+sheet+`"}`)
+	require.Equal(t, applied, digestOf(t, "apply", 1, `{"sheet":"`+sheet+`\n"}`))
+	require.NotEqual(t, applied, digestOf(t, "apply", 1, `{"sheet":"`+sheet+`","confirm_stops":3}`))
+}
+
+// TestBodies guards against misspelt fields being taken as absent.
+func TestBodies(t *testing.T) {
+	for _, body := range []string{`{"confirmstops":1}`, `{} {}`, `[]`, `{"expected_revision":-1}`, `{`} {
+		_, problem := decodeBody([]byte(body))
+		require.NotNil(t, problem, body)
+		require.EqualValues(t, 400, problem.GetOperate().GetStatus(), body)
+	}
+	body, problem := decodeBody(nil)
+	require.Nil(t, problem)
+	require.Nil(t, body.ExpectedRevision)
+}
+
+// TestSheetProblemsReachTheOperator guards the lines and columns in the API's answer.
+func TestSheetProblemsReachTheOperator(t *testing.T) {
+	_, problem := parseSheet("sheet,x\n")
+	require.JSONEq(t, `{"reason":"request_invalid","detail":"the sheet has errors; nothing was applied",
+		"sheet_problems":[{"line":1,"column":7,"text":"sheet number \"x\" is not a whole number above 0"}]}`,
+		string(problem.GetOperate().GetBody()))
+}
--- a/controld/internal/server/server.go
+++ b/controld/internal/server/server.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"flamingodrift.example/controld/internal/cell"
 	"flamingodrift.example/controld/internal/controller"
 	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/sheet"
 	"flamingodrift.example/core/wire"
 )
 
@@ -57,9 +57,10 @@
 type Problem struct {
 	Reason string `json:"reason"`
 	Detail string `json:"detail"`
+	// Revision is the present one, in a conflict.
+	Revision uint64 `json:"revision,omitempty"`
 	// SheetProblems is set for a sheet with errors.
-	SheetProblems any           `json:"sheet_problems,omitempty"`
-	Preview       *cell.Preview `json:"preview,omitempty"`
+	SheetProblems []sheet.Problem `json:"sheet_problems,omitempty"`
 }
 
 func reply(status int, body any) *wire.Reply {
