Name problems first, explain any name, and count refusals on the leader

Cause: `status` showed totals only, so lost workers, silent entry processes, missing voters or jobs that can never run went unnoticed by staff who do not ask. `why` knew jobs only; `waiting` listed one line for each task; targets were mixed into hosts; how often and where a task failed, and what the worker said, was not shown. A full disk reached flamingoctl as "no answer", although nothing had been accepted. LeaseEnded and DiskFull refusals were not counted.

Ruled out: sentences in `list`. At 20,000 tasks they would exceed the 8 MiB answer.

Change: the explainer is split by question. `status` begins with problems and ends with the leader's count of refusals by reason (package tally, empty for a new leader). `why` explains jobs, tasks, runs that left the sheet, workers, targets, entry processes and control members. `waiting` has one line for each job. `targets` is new. flamingoctl prints plans and accepted changes as text, and refusals as JSON with -o json; an answer without a reason is not taken for a refusal. The reasons are enumerable, and docs/reasons.md is held to them.

Tests: sentences and docs against the closed set; one fixture of every problem of `status`; each kind of name of `why`; final and open answers of the client; notations of the printer as text files. The explainer's and printer's tests were written with the change and were not seen to fail on the earlier code.

Conclusion: the questions on call are answered by one command each. Refusals of callers' requests are counted by entry processes only, in their metrics.

--- a/controld/internal/cell/sheet.go
+++ b/controld/internal/cell/sheet.go
@@ -106,7 +106,7 @@
 	}
 	preview := c.Preview(s.GetJobs())
 	if preview.NeedsConfirmation() && int(s.GetConfirmedStops()) != preview.StoppedTasks {
-		return refuse(reason.StopsUnconfirmed, "the sheet stops %d of %d active tasks; confirm that number",
+		return refuse(reason.StopsUnconfirmed, "the sheet stops %d of %d active tasks; check the export and confirm that number (confirm_stops)",
 			preview.StoppedTasks, preview.ActiveTasks)
 	}
 	if limit := c.checkLimits(s.GetJobs()); limit != nil {
--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
 	"flamingodrift.example/controld/internal/store"
+	"flamingodrift.example/controld/internal/tally"
 	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/logger"
@@ -76,6 +77,7 @@
 	leads       bool
 	reg         *registrar.Registrar
 	plan        *planner.Planner
+	tally       *tally.Tally
 	deciding    bool
 	workerBatch []*wire.WorkerEvent
 	pending     map[string]bool
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -5,6 +5,7 @@
 
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
+	"flamingodrift.example/controld/internal/tally"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
@@ -38,6 +39,7 @@
 	c.leads, c.leadingTerm = true, c.repl.Term()
 	c.reg = registrar.New(c.cfg.Registrar, c.repl.Term(), workers, holders, now)
 	c.plan = planner.New(c.cfg.Planner)
+	c.tally = tally.New(time.Now().UnixMilli())
 	c.deciding, c.workerBatch, c.pending = false, nil, map[string]bool{}
 	c.seenAlive = map[string]time.Duration{}
 	for _, m := range c.repl.Membership().GetMembers() {
@@ -80,6 +82,7 @@
 	}
 	for _, lost := range c.reg.ExpireEntries(now) {
 		logger.EntryLost.Log(c.cfg.Logger, "entry", lost.Entry)
+		c.tally.EntryLost(lost.Entry, time.Now().UnixMilli())
 		command := &wire.Command{Body: &wire.Command_OrphanClaims{
 			OrphanClaims: &wire.OrphanClaims{Entry: lost.Entry, Boot: lost.Boot},
 		}}
@@ -122,6 +125,7 @@
 
 func (c *Controller) handleBeat(e beatEvent, now time.Duration) {
 	reply := c.reg.Beat(e.request, now)
+	c.tally.EntryReported(e.request.GetEntry(), e.request.GetLeaving())
 	config := c.cell.Config()
 	reply.ConfigRevision = config.GetRevision()
 	if e.request.GetConfigRevision() < config.GetRevision() {
@@ -132,6 +136,7 @@
 
 func (c *Controller) handleClaim(e claimEvent, now time.Duration) {
 	if c.diskFull {
+		c.countRefusal(reason.DiskFull)
 		e.reply(refused(&wire.Refusal{Reason: reason.DiskFull.String(), Detail: "the leader's disk is full"}))
 		return
 	}
@@ -162,6 +167,7 @@
 		return
 	}
 	if c.diskFull {
+		c.countRefusal(reason.DiskFull)
 		e.fail(&wire.Refusal{Reason: reason.DiskFull.String(), Detail: "the leader's disk is full"})
 		return
 	}
@@ -170,7 +176,7 @@
 			logger.ChangeAccepted.Log(c.cfg.Logger, "revision", result.GetRevision(), "change", result.GetDetail())
 		} else {
 			logger.ChangeRefused.Log(c.cfg.Logger, "reason", result.GetReason(), "detail", result.GetDetail())
-			c.cfg.Meter.Refused(reason.Reason(result.GetReason()))
+			c.countRefusal(reason.Reason(result.GetReason()))
 		}
 		e.done(result)
 	})
--- a/controld/internal/controller/reports.go
+++ b/controld/internal/controller/reports.go
@@ -28,12 +28,13 @@
 	w := c.cell.Worker(report.GetWorker())
 	if w != nil && w.Lost() && w.Boot() == report.GetBoot() {
 		order.Refused = reason.LeaseEnded.String()
+		c.countRefusal(reason.LeaseEnded)
 		return order
 	}
 	result := c.reg.Poll(report, now)
 	if result.Refused {
 		logger.PollRefused.Log(c.cfg.Logger, "worker", report.GetWorker(), "poll", report.GetPoll())
-		c.cfg.Meter.Refused(reason.StalePoll)
+		c.countRefusal(reason.StalePoll)
 		order.Refused = reason.StalePoll.String()
 		return order
 	}
--- a/controld/internal/controller/view.go
+++ b/controld/internal/controller/view.go
@@ -4,6 +4,7 @@
 	"flamingodrift.example/controld/internal/cell"
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
+	"flamingodrift.example/controld/internal/tally"
 	"flamingodrift.example/core/wire"
 )
 
@@ -15,11 +16,17 @@
 	Membership *wire.Membership
 	LeaderName string
 	DiskFull   bool
+	// Voters is how many voters the group should have.
+	Voters int
+	// Silent names the members that have not been heard for some seconds.
+	Silent []string
+	Tally  *tally.Tally
 }
 
 func (c *Controller) view() View {
 	return View{
 		Cell: c.cell, Planner: c.plan, Registrar: c.reg, Membership: c.repl.Membership(),
 		LeaderName: c.cfg.Member.GetName(), DiskFull: c.diskFull,
+		Voters: c.cfg.Voters, Silent: c.silentMembers(c.cfg.Clock.Now()), Tally: c.tally,
 	}
 }
--- /dev/null
+++ b/controld/internal/explainer/problems.go
@@ -0,0 +1,104 @@
+package explainer
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"flamingodrift.example/controld/internal/claim"
+	"flamingodrift.example/core/wire"
+)
+
+// shownNames bounds the names in one sentence.
+const shownNames = 5
+
+// problems lists what somebody should look at, the most urgent first.
+func (e *Explainer) problems(s *Status) []string {
+	problems := []string{}
+	add := func(names []string, one, many string) {
+		switch len(names) {
+		case 0:
+		case 1:
+			problems = append(problems, fmt.Sprintf(one, names[0]))
+		default:
+			problems = append(problems, fmt.Sprintf("%d ", len(names))+fmt.Sprintf(many, someOf(names)))
+		}
+	}
+	if e.DiskFull {
+		problems = append(problems, "The leader's disk is full: changes are refused until there is space.")
+	}
+	if s.ControlVoters < e.Voters {
+		problems = append(problems, fmt.Sprintf("Control voters are missing, %d of %d: replace the lost hosts.", e.Voters-s.ControlVoters, e.Voters))
+	}
+	add(e.Silent, "Control member %s is silent.", "control members are silent: %s.")
+	var silent []string
+	for _, entry := range e.Tally.SilentEntries() {
+		silent = append(silent, entry.Name)
+	}
+	add(silent, "Entry process %s does not report.", "entry processes do not report: %s.")
+	if s.Workers > 0 && s.Workers == s.LostWorkers+s.HeldWorkers+s.DrainingWorkers {
+		problems = append(problems, "No worker takes new tasks.")
+	}
+	add(e.workersIn("lost"), "Worker %s is lost: its lease ran out.", "workers are lost, their leases ran out: %s.")
+	add(e.workersIn("held"), "Worker %s is set aside because tasks fail there.", "workers are set aside because tasks fail there: %s.")
+	add(e.servicesWithoutTarget(), "Service %s has no target: its callers are refused.", "services have no target, their callers are refused: %s.")
+	never, held, failed := e.troubledJobs()
+	add(never, "Job %[1]s can never run; flamingoctl why %[1]s says why.", "jobs can never run: %s.")
+	add(held, "Job %s is held because its tasks failed on several workers.", "jobs are held because their tasks failed on several workers: %s.")
+	add(failed, "Job %s has tasks that failed and will not run again.", "jobs have tasks that failed and will not run again: %s.")
+	if s.Claims*10 >= claim.MaxClaims*9 {
+		problems = append(problems, fmt.Sprintf("%d of %d idempotency keys are in use; at the limit new ones are refused.", s.Claims, claim.MaxClaims))
+	}
+	return problems
+}
+
+func someOf(names []string) string {
+	if len(names) <= shownNames {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:shownNames], ", "), len(names)-shownNames)
+}
+
+func (e *Explainer) workersIn(state string) []string {
+	var names []string
+	for name, w := range e.Cell.Workers() {
+		if workerState(w) == state {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (e *Explainer) servicesWithoutTarget() []string {
+	served := map[string]bool{}
+	for _, t := range e.Registrar.Targets() {
+		served[t.Service] = served[t.Service] || !t.Leaving
+	}
+	var names []string
+	for _, service := range e.Cell.Config().GetServices() {
+		if !served[service.GetName()] {
+			names = append(names, service.GetName())
+		}
+	}
+	return names
+}
+
+// troubledJobs returns the jobs that can never run, that are held, and that have tasks that failed for good.
+func (e *Explainer) troubledJobs() (never, held, failed []string) {
+	for _, j := range e.jobs() {
+		if w, ok := e.Planner.Waiting(j.ID()); ok && j.Waiting() > 0 && neverRuns(w.Reason) {
+			never = append(never, j.ID())
+		}
+		if j.Held() && !j.Finished() {
+			held = append(held, j.ID())
+		}
+		for _, t := range j.Tasks() {
+			if t.State() == wire.TaskState_TASK_STATE_FAILED {
+				failed = append(failed, j.ID())
+				break
+			}
+		}
+	}
+	return never, held, failed
+}
--- /dev/null
+++ b/controld/internal/explainer/status.go
@@ -0,0 +1,107 @@
+package explainer
+
+import (
+	"fmt"
+	"strings"
+
+	"flamingodrift.example/controld/internal/tally"
+)
+
+// Status answers "is everything in order?". Problems come first, so that staff see them without asking.
+type Status struct {
+	InOrder         bool          `json:"in_order"`
+	Problems        []string      `json:"problems"`
+	Sentences       []string      `json:"sentences"`
+	Leader          string        `json:"leader"`
+	Revision        uint64        `json:"revision"`
+	SheetNumber     uint64        `json:"sheet_number"`
+	Jobs            int           `json:"jobs"`
+	RunningTasks    int           `json:"running_tasks"`
+	WaitingTasks    int           `json:"waiting_tasks"`
+	Workers         int           `json:"workers"`
+	LostWorkers     int           `json:"lost_workers"`
+	HeldWorkers     int           `json:"held_workers"`
+	DrainingWorkers int           `json:"draining_workers"`
+	EntryProcesses  int           `json:"entry_processes"`
+	Targets         int           `json:"targets"`
+	Claims          int           `json:"claims"`
+	ControlVoters   int           `json:"control_voters"`
+	DiskFull        bool          `json:"disk_full"`
+	Refusals        []tally.Count `json:"refusals"`
+	// RefusalsSinceUnixMs is when the leader began to count.
+	RefusalsSinceUnixMs int64 `json:"refusals_since_unix_ms"`
+}
+
+// Status returns the state of the whole cell.
+func (e *Explainer) Status() *Status {
+	s := &Status{
+		Leader: e.LeaderName, Revision: e.Cell.Revision(), SheetNumber: e.Cell.SheetNumber(),
+		Jobs: len(e.Cell.Jobs()), Workers: len(e.Cell.Workers()), EntryProcesses: e.Registrar.EntryCount(),
+		Targets: len(e.Registrar.Targets()), Claims: e.Cell.Claims().Len(), DiskFull: e.DiskFull,
+		Refusals: e.Tally.Refusals(), RefusalsSinceUnixMs: e.Tally.SinceUnixMs(),
+	}
+	for _, j := range e.Cell.Jobs() {
+		s.RunningTasks += j.Active()
+		s.WaitingTasks += j.Waiting()
+	}
+	for _, w := range e.Cell.Workers() {
+		switch workerState(w) {
+		case "lost":
+			s.LostWorkers++
+		case "held":
+			s.HeldWorkers++
+		case "draining":
+			s.DrainingWorkers++
+		}
+	}
+	for _, m := range e.Membership.GetMembers() {
+		if m.GetVoter() {
+			s.ControlVoters++
+		}
+	}
+	s.Problems = e.problems(s)
+	s.InOrder = len(s.Problems) == 0
+	s.Sentences = e.statusSentences(s)
+	return s
+}
+
+func (e *Explainer) statusSentences(s *Status) []string {
+	first := "Everything is in order."
+	if !s.InOrder {
+		first = fmt.Sprintf("There %s:", isAre(len(s.Problems), "problem"))
+	}
+	lines := append([]string{first}, s.Problems...)
+	sheet := fmt.Sprintf("Sheet %d is in force", s.SheetNumber)
+	if s.SheetNumber == 0 {
+		sheet = "No sheet is in force yet"
+	}
+	lines = append(lines,
+		fmt.Sprintf("%s at revision %d; %s leads %s.", sheet, s.Revision, s.Leader, count(s.ControlVoters, "control voter")),
+		fmt.Sprintf("%s run and %s wait on %s; %s, %s.", count(s.RunningTasks, "task"), count(s.WaitingTasks, "task"),
+			count(s.Workers-s.LostWorkers, "worker"), countProcesses(s.EntryProcesses), count(s.Targets, "target")))
+	if s.DrainingWorkers > 0 {
+		lines = append(lines, fmt.Sprintf("%s drained by an operator.", isAre(s.DrainingWorkers, "worker")))
+	}
+	if len(s.Refusals) == 0 {
+		return append(lines, fmt.Sprintf("The leader has refused nothing since %s.", at(s.RefusalsSinceUnixMs)))
+	}
+	var counts []string
+	for _, c := range s.Refusals {
+		counts = append(counts, fmt.Sprintf("%s %d", c.Reason, c.Count))
+	}
+	return append(lines, fmt.Sprintf("The leader has refused since %s: %s.", at(s.RefusalsSinceUnixMs), strings.Join(counts, ", ")))
+}
+
+func countProcesses(n int) string {
+	if n == 1 {
+		return "1 entry process"
+	}
+	return fmt.Sprintf("%d entry processes", n)
+}
+
+func isAre(n int, noun string) string {
+	if n == 1 {
+		return "is 1 " + noun
+	}
+	return fmt.Sprintf("are %d %ss", n, noun)
+}
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -54,11 +54,13 @@
 	case "status":
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Status() })
 	case "list":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List(false) })
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List() })
 	case "waiting":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List(true) })
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Waiting() })
 	case "hosts":
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Hosts() })
+	case "targets":
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Targets() })
 	case "history":
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.History() })
 	case "why":
@@ -100,7 +102,8 @@
 	refusal := s.controller.Query(ctx, func(now time.Duration, view controller.View) {
 		status, answer = read(&explainer.Explainer{
 			Cell: view.Cell, Planner: view.Planner, Registrar: view.Registrar, Membership: view.Membership,
-			LeaderName: view.LeaderName, DiskFull: view.DiskFull, Now: now,
+			LeaderName: view.LeaderName, DiskFull: view.DiskFull, Now: now, Voters: view.Voters, Silent: view.Silent,
+			Tally: view.Tally,
 		})
 	})
 	if refusal != nil {
@@ -111,11 +114,12 @@
 
 func (s *Server) why(ctx context.Context, key string) *wire.Reply {
 	return s.query(ctx, func(e *explainer.Explainer) (int, any) {
-		tasks, ok := e.Why(key)
-		if !ok {
-			return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf("no job %q", key)}
+		answer := e.Why(key)
+		if answer == nil {
+			return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf(
+				"the cell knows no job, task, worker, target, entry process or control member %q; a run that left the sheet is found by KEY@RUN", key)}
 		}
-		return http.StatusOK, tasks
+		return http.StatusOK, answer
 	})
 }
 
--- a/flamingoctl/internal/client/client.go
+++ b/flamingoctl/internal/client/client.go
@@ -14,7 +14,8 @@
 
 const (
 	attemptTimeout = 6 * time.Second
-	maxAnswerBytes = 64 << 20
+	// maxAnswerBytes is above the 8 MiB that a cell answers at most.
+	maxAnswerBytes = 16 << 20
 )
 
 // Config says where the API is.
@@ -35,36 +36,12 @@
 	return &Client{cfg: cfg, http: &http.Client{Timeout: attemptTimeout}}
 }
 
-// Refusal is returned when the cell refused a request; the request had no effect.
-type Refusal struct {
-	Status        int            `json:"-"`
-	Reason        string         `json:"reason"`
-	Detail        string         `json:"detail"`
-	SheetProblems []SheetProblem `json:"sheet_problems"`
-}
-
-// SheetProblem is one error in a sheet.
-type SheetProblem struct {
-	Line   int    `json:"line"`
-	Column int    `json:"column"`
-	Text   string `json:"text"`
-}
-
-// Error lists the reason and every problem.
-func (r *Refusal) Error() string {
-	text := fmt.Sprintf("refused (%s): %s", r.Reason, r.Detail)
-	for _, p := range r.SheetProblems {
-		text += fmt.Sprintf("\n  line %d, column %d: %s", p.Line, p.Column, p.Text)
-	}
-	return text
-}
-
-// ErrUnreachable is returned when no entry process gave an answer. A change may have been accepted; sending it again
-// with the same change id is safe.
+// ErrUnreachable is returned when no entry process gave a final answer. A change may have been accepted; sending it
+// again with the same change id is safe.
 var ErrUnreachable = errors.New("no entry process gave an answer")
 
-// Call sends one request and returns the body of the answer. Requests may be sent again to another entry process, so a
-// change must carry a change id.
+// Call sends one request and returns the body of the answer. It tries the entry processes in turn until one gives a
+// final answer, so a change must carry a change id. Errors: *Refusal, which is final, or ErrUnreachable.
 func (c *Client) Call(ctx context.Context, action string, body any) ([]byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -74,7 +51,7 @@
 	for _, entry := range c.cfg.Entries {
 		answer, err := c.attempt(ctx, entry, action, data)
 		var refusal *Refusal
-		if err == nil || errors.As(err, &refusal) && refusal.Status != http.StatusServiceUnavailable {
+		if err == nil || errors.As(err, &refusal) && refusal.final() {
 			return answer, err
 		}
 		last = fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -96,14 +73,10 @@
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, fmt.Errorf("read answer of %s: %w", entry, err)
 	}
 	if response.StatusCode == http.StatusOK {
 		return answer, nil
 	}
-	refusal := &Refusal{Status: response.StatusCode}
-	if err := json.Unmarshal(answer, refusal); err != nil {
-		return nil, fmt.Errorf("status %d without a reason", response.StatusCode)
-	}
-	return nil, refusal
+	return nil, newRefusal(entry, response.StatusCode, answer)
 }
--- a/flamingoctl/internal/printer/printer.go
+++ b/flamingoctl/internal/printer/printer.go
@@ -34,9 +34,29 @@
 		{title: "STATE", field: "state"},
 		{title: "WORKER", field: "worker"},
 		{title: "REASON", field: "reason"},
+		{title: "FAILURES", field: "failures"},
 		{title: "SINCE", field: "since_unix_ms", format: unixMs},
 	},
 	"why": {{title: "TASK", field: "task"}, {title: "STATE", field: "state"}, {title: "WHY", field: "sentence"}},
+	"waiting": {
+		{title: "JOB", field: "job"},
+		{title: "TEAM", field: "team"},
+		{title: "WAITING", field: "tasks"},
+		{title: "RUNNING", field: "running"},
+		{title: "FAILURES", field: "failures"},
+		{title: "REASON", field: "reason"},
+		{title: "SINCE", field: "since_unix_ms", format: unixMs},
+		{title: "WHY", field: "sentence"},
+	},
+	"targets": {
+		{title: "TARGET", field: "name"},
+		{title: "SERVICE", field: "service"},
+		{title: "STATE", field: "state"},
+		{title: "SLOTS", field: "slots"},
+		{title: "OWNER", field: "owner"},
+		{title: "ADDRESS", field: "address"},
+		{title: "NOTE", field: "sentence"},
+	},
 	"hosts": {
 		{title: "NAME", field: "name"},
 		{title: "ROLE", field: "role"},
@@ -71,18 +91,49 @@
 		_, err := fmt.Fprintln(p.out, indented.String())
 		return err
 	}
-	if action == "waiting" {
-		action = "why"
+	if columns, ok := tables[action]; ok && action != "why" {
+		var rows []map[string]any
+		if err := decode(answer, &rows); err != nil {
+			return err
+		}
+		return p.table(columns, rows)
+	}
+	var object map[string]any
+	if err := decode(answer, &object); err != nil {
+		return err
+	}
+	switch text := texts[action]; {
+	case action == "why":
+		return p.why(object)
+	case changes[action]:
+		printAccepted(p.out, object)
+	case text != nil:
+		text(p.out, object)
+	default:
+		return fmt.Errorf("no notation for the answer to %q; use -o json", action)
+	}
+	return nil
+}
+
+// why shows the sentences of an answer and then its tasks.
+func (p *Printer) why(answer map[string]any) error {
+	printSentences(p.out, answer)
+	tasks, _ := answer["tasks"].([]any)
+	rows := make([]map[string]any, 0, len(tasks))
+	for _, task := range tasks {
+		if row, ok := task.(map[string]any); ok {
+			rows = append(rows, row)
+		}
 	}
-	if columns, ok := tables[action]; ok {
-		return p.table(columns, answer)
+	if len(rows) == 0 {
+		return nil
 	}
-	return p.fields(answer)
+	return p.table(tables["why"], rows)
 }
 
-func (p *Printer) table(columns []column, answer []byte) error {
-	var rows []map[string]any
-	if err := decode(answer, &rows); err != nil {
+func (p *Printer) table(columns []column, rows []map[string]any) error {
+	if len(rows) == 0 {
+		_, err := fmt.Fprintln(p.out, "(none)")
 		return err
 	}
 	w := tabwriter.NewWriter(p.out, 0, 4, 2, ' ', 0)
@@ -114,36 +165,6 @@
 	}
 }
 
-// fields shows the sentences of an object, or else its fields in the order of the answer.
-func (p *Printer) fields(answer []byte) error {
-	var object map[string]any
-	if err := decode(answer, &object); err != nil {
-		return err
-	}
-	if sentences, ok := object["sentences"].([]any); ok {
-		for _, sentence := range sentences {
-			_, _ = fmt.Fprintln(p.out, sentence)
-		}
-		return nil
-	}
-	decoder := json.NewDecoder(bytes.NewReader(answer))
-	if _, err := decoder.Token(); err != nil {
-		return fmt.Errorf("read answer: %w", err)
-	}
-	for decoder.More() {
-		name, err := decoder.Token()
-		if err != nil {
-			return fmt.Errorf("read answer: %w", err)
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return fmt.Errorf("read answer: %w", err)
-		}
-		_, _ = fmt.Fprintf(p.out, "%s: %s\n", name, bytes.Trim(value, `"`))
-	}
-	return nil
-}
-
 func decode(answer []byte, target any) error {
 	decoder := json.NewDecoder(bytes.NewReader(answer))
 	decoder.UseNumber()
--- a/standin/internal/demo/demo.go
+++ b/standin/internal/demo/demo.go
@@ -104,7 +104,7 @@
 	if err := d.control("apply", sheet); err != nil {
 		return err
 	}
-	if err := d.waitFor("the targets", func() bool { return strings.Count(d.output("hosts"), "It serves chairbook") == 3 }); err != nil {
+	if err := d.waitFor("the targets", func() bool { return strings.Count(d.output("targets"), "It serves chairbook") == 3 }); err != nil {
 		return err
 	}
 	if err := d.call(); err != nil {
