List everything wrong in settings at once, and never show a token

Cause, each seen as a failing test before the fix: - an unquoted token was quoted in the error of the JSON parser ("invalid literal: ..."), and a cell token above 128 bytes was shown as a wrong value; - loading stopped at the first unknown key or wrong type; keys in another case were accepted, and the last of two equal keys won; - advertised addresses 0.0.0.0, peers listed twice, short cell tokens, operators with equal names or tokens, and a currency_ms not above beat_ms were accepted; - a configuration could name a team that no sheet can write, or a method in lower case that never matches, and a quota of 1.001 processors became 1.000.

Ruled out: passing on the parser's message without the quoted part. Its texts are not a stable interface, so only line and column are kept.

Change: the loader compares the file with the target struct before decoding; fields tagged as secret are never shown. The event "worker registered" is logged, which it was not.

Tests: cases as text files in core/loader/testdata; bounds, defaults and docs for both daemons' settings and for the configuration; the catalogue of events; every reason as a counter label.

--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -120,6 +120,9 @@
 	}
 	for _, event := range command.GetWorkerEvents().GetEvents() {
 		delete(c.pending, eventMark(event))
+		if seen := event.GetSeen(); seen != nil {
+			logger.WorkerRegistered.Log(c.cfg.Logger, "worker", event.GetWorker(), "boot", seen.GetBoot(), "rack", seen.GetRack())
+		}
 	}
 }
 
--- a/controld/internal/server/config.go
+++ b/controld/internal/server/config.go
@@ -2,6 +2,12 @@
 
 import (
 	"fmt"
+	"math"
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
 
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/wire"
@@ -33,73 +39,100 @@
 }
 
 const (
-	maxDeadlineMs     = 600_000
-	standardDeadline  = 10_000
-	maxQueue          = 4_096
-	standardQueue     = 256
-	maxServices       = 256
-	maxWeight         = 1_000
-	maxConfigNameByte = 128
+	maxDeadlineMs    = 600_000
+	standardDeadline = 10_000
+	maxQueue         = 4_096
+	standardQueue    = 256
+	maxServices      = 256
+	maxWeight        = 1_000
+	maxConfigName    = 128
+	maxProcessors    = 1_000_000
+	maxMemoryMB      = 1_000_000_000_000
+	maxAccelerators  = 1_000_000
 )
 
-// Check fills in defaults and returns every problem.
-func (c *configFile) Check() []loader.Problem {
-	var problems []loader.Problem
-	fail := func(path, value, allowed string) {
-		problems = append(problems, loader.Problem{Path: path, Value: value, Allowed: allowed})
+// declarableMethods may be declared idempotent; GET, HEAD and OPTIONS always are.
+var declarableMethods = []string{http.MethodPut, http.MethodPost, http.MethodPatch, http.MethodDelete}
+
+// names are the names that a sheet can write, so that teams and services of the configuration can be matched.
+var names = regexp.MustCompile(fmt.Sprintf(`^[A-Za-z0-9._-]{1,%d}$`, maxConfigName))
+
+// configCheck collects the problems of a configuration.
+type configCheck struct {
+	problems []loader.Problem
+}
+
+func (c *configCheck) fail(path, value, allowed string) {
+	c.problems = append(c.problems, loader.Problem{Path: path, Value: value, Allowed: allowed})
+}
+
+func (c *configCheck) upTo(path string, value, low, high float64) {
+	if value < low || value > high {
+		c.fail(path, strconv.FormatFloat(value, 'f', -1, 64), fmt.Sprintf("%.0f to %.0f", low, high))
 	}
-	if c.Profile == "" {
-		c.Profile = "waiting"
+}
+
+func (c *configCheck) name(seen map[string]bool, path, name string) {
+	if !names.MatchString(name) {
+		c.fail(path+".name", name, fmt.Sprintf("1 to %d letters, digits, '.', '_' and '-'", maxConfigName))
+	}
+	if seen[name] {
+		c.fail(path+".name", name, "a name that is used once")
 	}
-	if c.Profile != "waiting" && c.Profile != "packing" {
-		fail("profile", c.Profile, "waiting, packing")
+	seen[name] = true
+}
+
+// Check fills in defaults and returns every problem.
+func (f *configFile) Check() []loader.Problem {
+	c := &configCheck{}
+	if f.Profile == "" {
+		f.Profile = "waiting"
 	}
-	if len(c.Services) > maxServices {
-		fail("services", fmt.Sprint(len(c.Services)), fmt.Sprintf("at most %d", maxServices))
+	if f.Profile != "waiting" && f.Profile != "packing" {
+		c.fail("profile", f.Profile, "waiting, packing")
 	}
-	seen := map[string]bool{}
-	for i := range c.Teams {
-		t := &c.Teams[i]
+	teams := map[string]bool{}
+	for i := range f.Teams {
 		path := fmt.Sprintf("teams[%d]", i)
-		if t.Weight == 0 {
-			t.Weight = 1
-		}
-		if t.Weight > maxWeight {
-			fail(path+".weight", fmt.Sprint(t.Weight), fmt.Sprintf("1 to %d", maxWeight))
-		}
-		if t.Quota.Processors < 0 || t.Quota.MemoryMB < 0 || t.Quota.Accelerators < 0 {
-			fail(path+".quota", fmt.Sprint(t.Quota), "amounts of 0 or more")
-		}
-		checkName(fail, seen, path, "team", t.Name)
+		c.name(teams, path, f.Teams[i].Name)
+		f.Teams[i].check(c, path)
+	}
+	if len(f.Services) > maxServices {
+		c.fail("services", strconv.Itoa(len(f.Services)), fmt.Sprintf("at most %d", maxServices))
 	}
-	for i := range c.Services {
-		s := &c.Services[i]
+	services := map[string]bool{}
+	for i := range f.Services {
 		path := fmt.Sprintf("services[%d]", i)
-		if s.DeadlineMs == 0 {
-			s.DeadlineMs = standardDeadline
-		}
-		if s.Queue == 0 {
-			s.Queue = standardQueue
-		}
-		if s.DeadlineMs > maxDeadlineMs {
-			fail(path+".deadline_ms", fmt.Sprint(s.DeadlineMs), fmt.Sprintf("1 to %d", maxDeadlineMs))
-		}
-		if s.Queue > maxQueue {
-			fail(path+".queue", fmt.Sprint(s.Queue), fmt.Sprintf("1 to %d", maxQueue))
-		}
-		checkName(fail, seen, path, "service", s.Name)
+		c.name(services, path, f.Services[i].Name)
+		f.Services[i].check(c, path)
+	}
+	return c.problems
+}
+
+func (t *configTeam) check(c *configCheck, path string) {
+	if t.Weight == 0 {
+		t.Weight = 1
 	}
-	return problems
+	c.upTo(path+".weight", float64(t.Weight), 1, maxWeight)
+	c.upTo(path+".quota.processors", t.Quota.Processors, 0, maxProcessors)
+	c.upTo(path+".quota.memory_mb", float64(t.Quota.MemoryMB), 0, maxMemoryMB)
+	c.upTo(path+".quota.accelerators", float64(t.Quota.Accelerators), 0, maxAccelerators)
 }
 
-func checkName(fail func(path, value, allowed string), seen map[string]bool, path, kind, name string) {
-	if name == "" || len(name) > maxConfigNameByte {
-		fail(path+".name", name, fmt.Sprintf("1 to %d bytes", maxConfigNameByte))
+func (s *configService) check(c *configCheck, path string) {
+	if s.DeadlineMs == 0 {
+		s.DeadlineMs = standardDeadline
+	}
+	if s.Queue == 0 {
+		s.Queue = standardQueue
 	}
-	if seen[kind+" "+name] {
-		fail(path+".name", name, "a name that is used once")
+	c.upTo(path+".deadline_ms", float64(s.DeadlineMs), 1, maxDeadlineMs)
+	c.upTo(path+".queue", float64(s.Queue), 1, maxQueue)
+	for i, method := range s.IdempotentMethods {
+		if !slices.Contains(declarableMethods, method) {
+			c.fail(fmt.Sprintf("%s.idempotent_methods[%d]", path, i), method, strings.Join(declarableMethods, ", "))
+		}
 	}
-	seen[kind+" "+name] = true
 }
 
 func parseConfig(text string) (*wire.Config, *wire.Reply) {
@@ -110,7 +143,7 @@
 	config := &wire.Config{Profile: file.Profile}
 	for _, t := range file.Teams {
 		config.Teams = append(config.Teams, &wire.Team{Name: t.Name, Weight: t.Weight, Quota: &wire.Resources{
-			CpuMilli: int64(t.Quota.Processors * 1000), MemoryMb: t.Quota.MemoryMB, Accelerators: t.Quota.Accelerators,
+			CpuMilli: int64(math.Round(t.Quota.Processors * 1000)), MemoryMb: t.Quota.MemoryMB, Accelerators: t.Quota.Accelerators,
 		}})
 	}
 	for _, s := range file.Services {
--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -25,7 +25,7 @@
 	Peers  []string `json:"peers"`
 	Voters int      `json:"voters"`
 	// CellToken is shared by the cell's own processes.
-	CellToken      string `json:"cell_token"`
+	CellToken      string `json:"cell_token" secret:"true"`
 	HeartbeatMs    int    `json:"heartbeat_ms"`
 	ElectionMinMs  int    `json:"election_min_ms"`
 	ElectionMaxMs  int    `json:"election_max_ms"`
@@ -59,49 +59,38 @@
 	}
 }
 
+// Bounds of texts in bytes.
+const (
+	maxTextBytes  = 128
+	minTokenBytes = 16
+)
+
 // Check fills in defaults and returns every problem.
 func (s *Settings) Check() []loader.Problem {
-	var problems []loader.Problem
+	c := &check{}
 	for _, n := range s.numbers() {
 		if *n.value == 0 {
 			*n.value = n.standard
 		}
 		if *n.value < n.lowest || *n.value > n.highest {
-			problems = append(problems, loader.Problem{
-				Path: n.path, Value: fmt.Sprint(*n.value), Allowed: fmt.Sprintf("%d to %d", n.lowest, n.highest),
-			})
-		}
-	}
-	texts := []struct{ path, value string }{
-		{"name", s.Name},
-		{"failure_domain", s.FailureDomain},
-		{"data_folder", s.DataFolder},
-		{"cell_token", s.CellToken},
-	}
-	for _, t := range texts {
-		if t.value == "" || len(t.value) > 128 {
-			problems = append(problems, loader.Problem{Path: t.path, Value: t.value, Allowed: "1 to 128 bytes"})
+			c.fail(n.path, fmt.Sprint(*n.value), fmt.Sprintf("%d to %d", n.lowest, n.highest))
 		}
 	}
+	c.text("name", s.Name)
+	c.text("failure_domain", s.FailureDomain)
+	c.text("data_folder", s.DataFolder)
+	c.token("cell_token", s.CellToken)
 	if s.AdvertiseAddress == "" {
 		s.AdvertiseAddress = s.Address
 	}
-	addresses := []struct{ path, value string }{{"address", s.Address}, {"advertise_address", s.AdvertiseAddress}, {"health_address", s.HealthAddress}}
-	for i, peer := range s.Peers {
-		addresses = append(addresses, struct{ path, value string }{fmt.Sprintf("peers[%d]", i), peer})
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			problems = append(problems, loader.Problem{Path: a.path, Value: a.value, Allowed: "IP number and port"})
-		}
-	}
+	c.address("address", s.Address)
+	c.reachable("advertise_address", s.AdvertiseAddress)
+	c.address("health_address", s.HealthAddress)
+	c.list("peers", s.Peers)
 	if s.ElectionMaxMs <= s.ElectionMinMs || s.ElectionMinMs < 3*s.HeartbeatMs {
-		problems = append(problems, loader.Problem{
-			Path: "election_min_ms", Value: fmt.Sprint(s.ElectionMinMs),
-			Allowed: "at least 3 times heartbeat_ms and below election_max_ms",
-		})
+		c.fail("election_min_ms", fmt.Sprint(s.ElectionMinMs), "at least 3 times heartbeat_ms and below election_max_ms")
 	}
-	return problems
+	return c.problems
 }
 
 // Duration converts a setting in milliseconds.
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -21,7 +21,7 @@
 	HTTPAddress string `json:"http_address"`
 	// Controls are the addresses of all controld processes of the cell.
 	Controls  []string   `json:"controls"`
-	CellToken string     `json:"cell_token"`
+	CellToken string     `json:"cell_token" secret:"true"`
 	Operators []Operator `json:"operators"`
 	BeatMs    int        `json:"beat_ms"`
 	// CurrencyMs is how long a configuration counts as current after it was confirmed.
@@ -37,10 +37,14 @@
 // Operator may use the operators' API.
 type Operator struct {
 	Name  string `json:"name"`
-	Token string `json:"token"`
+	Token string `json:"token" secret:"true"`
 }
 
-const minTokenBytes = 16
+// Bounds of texts in bytes.
+const (
+	maxTextBytes  = 128
+	minTokenBytes = 16
+)
 
 type number struct {
 	path            string
@@ -63,48 +67,50 @@
 
 // Check fills in defaults and returns every problem.
 func (s *Settings) Check() []loader.Problem {
-	var problems []loader.Problem
-	fail := func(path, value, allowed string) {
-		problems = append(problems, loader.Problem{Path: path, Value: value, Allowed: allowed})
-	}
+	c := &check{}
 	for _, n := range s.numbers() {
 		if *n.value == 0 {
 			*n.value = n.standard
 		}
 		if *n.value < n.lowest || *n.value > n.highest {
-			fail(n.path, fmt.Sprint(*n.value), fmt.Sprintf("%d to %d", n.lowest, n.highest))
+			c.fail(n.path, fmt.Sprint(*n.value), fmt.Sprintf("%d to %d", n.lowest, n.highest))
 		}
 	}
-	texts := []struct{ path, value string }{
-		{"name", s.Name}, {"failure_domain", s.FailureDomain}, {"cell_token", s.CellToken},
-	}
-	for _, t := range texts {
-		if t.value == "" || len(t.value) > 128 {
-			fail(t.path, t.value, "1 to 128 bytes")
-		}
+	if s.CurrencyMs <= s.BeatMs {
+		c.fail("currency_ms", fmt.Sprint(s.CurrencyMs), "above beat_ms")
 	}
+	c.text("name", s.Name)
+	c.text("failure_domain", s.FailureDomain)
+	c.token("cell_token", s.CellToken)
 	if s.AdvertiseAddress == "" {
 		s.AdvertiseAddress = s.Address
 	}
-	addresses := []struct{ path, value string }{{"address", s.Address}, {"advertise_address", s.AdvertiseAddress}, {"http_address", s.HTTPAddress}}
-	for i, address := range s.Controls {
-		addresses = append(addresses, struct{ path, value string }{fmt.Sprintf("controls[%d]", i), address})
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			fail(a.path, a.value, "IP number and port")
-		}
-	}
+	c.address("address", s.Address)
+	c.reachable("advertise_address", s.AdvertiseAddress)
+	c.address("http_address", s.HTTPAddress)
+	c.list("controls", s.Controls)
 	if len(s.Controls) == 0 {
-		fail("controls", "", "at least one address")
+		c.fail("controls", "", "at least one address")
 	}
+	s.checkOperators(c)
+	return c.problems
+}
+
+// checkOperators refuses equal tokens: the history must name the operator who made a change.
+func (s *Settings) checkOperators(c *check) {
+	names, tokens := map[string]bool{}, map[string]bool{}
 	for i, o := range s.Operators {
-		if o.Name == "" || len(o.Token) < minTokenBytes {
-			// The token is not shown.
-			fail(fmt.Sprintf("operators[%d]", i), o.Name, fmt.Sprintf("a name, and a token of %d bytes or more", minTokenBytes))
+		path := fmt.Sprintf("operators[%d]", i)
+		c.text(path+".name", o.Name)
+		c.token(path+".token", o.Token)
+		if names[o.Name] {
+			c.fail(path+".name", o.Name, "a name that is used once")
+		}
+		if tokens[o.Token] {
+			c.fail(path+".token", loader.Hidden, "a token that is used once")
 		}
+		names[o.Name], tokens[o.Token] = true, true
 	}
-	return problems
 }
 
 // Duration converts a setting in milliseconds.
