--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -39,6 +39,9 @@
 	if s.Workers > 0 && s.Workers == s.LostWorkers+s.HeldWorkers+s.DrainingWorkers {
 		problems = append(problems, "No worker takes new tasks.")
 	}
+	if s.Workers == 0 && s.WaitingTasks > 0 {
+		problems = append(problems, "Tasks wait, and no worker has ever registered.")
+	}
 	add(e.workersIn("lost"), "Worker %s is lost: its lease ran out.", "workers are lost, their leases ran out: %s.")
 	add(e.workersIn("held"), "Worker %s is set aside because tasks fail there.", "workers are set aside because tasks fail there: %s.")
 	add(e.servicesWithoutTarget(), "Service %s has no target: its callers are refused.", "services have no target, their callers are refused: %s.")
--- a/controld/internal/explainer/status.go
+++ b/controld/internal/explainer/status.go
@@ -5,18 +5,21 @@
 	"strings"
 
 	"flamingodrift.example/controld/internal/tally"
+	"flamingodrift.example/core/wire"
 )
 
 // Status answers "is everything in order?". Problems come first, so that staff see them without asking.
 type Status struct {
-	InOrder         bool          `json:"in_order"`
-	Problems        []string      `json:"problems"`
-	Sentences       []string      `json:"sentences"`
-	Leader          string        `json:"leader"`
-	Revision        uint64        `json:"revision"`
-	SheetNumber     uint64        `json:"sheet_number"`
-	Jobs            int           `json:"jobs"`
-	RunningTasks    int           `json:"running_tasks"`
+	InOrder      bool     `json:"in_order"`
+	Problems     []string `json:"problems"`
+	Sentences    []string `json:"sentences"`
+	Leader       string   `json:"leader"`
+	Revision     uint64   `json:"revision"`
+	SheetNumber  uint64   `json:"sheet_number"`
+	Jobs         int      `json:"jobs"`
+	RunningTasks int      `json:"running_tasks"`
+	// PlacedTasks have a worker that has not reported their start.
+	PlacedTasks     int           `json:"placed_tasks"`
 	WaitingTasks    int           `json:"waiting_tasks"`
 	Workers         int           `json:"workers"`
 	LostWorkers     int           `json:"lost_workers"`
@@ -41,8 +44,16 @@
 		Refusals: e.Tally.Refusals(), RefusalsSinceUnixMs: e.Tally.SinceUnixMs(),
 	}
 	for _, j := range e.Cell.Jobs() {
-		s.RunningTasks += j.Active()
 		s.WaitingTasks += j.Waiting()
+		for _, t := range j.Tasks() {
+			switch t.State() {
+			case wire.TaskState_TASK_STATE_RUNNING:
+				s.RunningTasks++
+			case wire.TaskState_TASK_STATE_PLACED:
+				s.PlacedTasks++
+			default:
+			}
+		}
 	}
 	for _, w := range e.Cell.Workers() {
 		switch workerState(w) {
@@ -68,7 +79,7 @@
 func (e *Explainer) statusSentences(s *Status) []string {
 	first := "Everything is in order."
 	if !s.InOrder {
-		first = fmt.Sprintf("There %s:", isAre(len(s.Problems), "problem"))
+		first = fmt.Sprintf("There %s %s:", isAre(len(s.Problems)), count(len(s.Problems), "problem"))
 	}
 	lines := append([]string{first}, s.Problems...)
 	sheet := fmt.Sprintf("Sheet %d is in force", s.SheetNumber)
@@ -77,10 +88,11 @@
 	}
 	lines = append(lines,
 		fmt.Sprintf("%s at revision %d; %s leads %s.", sheet, s.Revision, s.Leader, count(s.ControlVoters, "control voter")),
-		fmt.Sprintf("%s run and %s wait on %s; %s, %s.", count(s.RunningTasks, "task"), count(s.WaitingTasks, "task"),
-			count(s.Workers-s.LostWorkers, "worker"), countProcesses(s.EntryProcesses), count(s.Targets, "target")))
+		fmt.Sprintf("Tasks: %d running, %d placed and not yet started, %d waiting.", s.RunningTasks, s.PlacedTasks, s.WaitingTasks),
+		fmt.Sprintf("There are %s, %s and %s.", count(s.Workers-s.LostWorkers, "worker"), countProcesses(s.EntryProcesses),
+			count(s.Targets, "target")))
 	if s.DrainingWorkers > 0 {
-		lines = append(lines, fmt.Sprintf("%s drained by an operator.", isAre(s.DrainingWorkers, "worker")))
+		lines = append(lines, fmt.Sprintf("%s %s drained by an operator.", count(s.DrainingWorkers, "worker"), isAre(s.DrainingWorkers)))
 	}
 	if len(s.Refusals) == 0 {
 		return append(lines, fmt.Sprintf("The leader has refused nothing since %s.", at(s.RefusalsSinceUnixMs)))
@@ -99,9 +111,9 @@
 	return fmt.Sprintf("%d entry processes", n)
 }
 
-func isAre(n int, noun string) string {
+func isAre(n int) string {
 	if n == 1 {
-		return "is 1 " + noun
+		return "is"
 	}
-	return fmt.Sprintf("are %d %ss", n, noun)
+	return "are"
 }
--- /dev/null
+++ b/standin/internal/scenario/doc.go
@@ -0,0 +1,2 @@
+// Package scenario holds scripted scenarios of operators' work against a whole cell, in testdata.
+package scenario
