Document the operators' side, and hold the pages to the code

Cause: there were no pages for operators, planners, callers or the platform. Writing them and running their commands showed three faults: an unknown action was answered with a demand for a change id instead of "not found" (read in the code; its test was written with the fix); the kratos library wrote lines that are not JSON to standard error; `why` about a host did not say which host.

Change: pages operators.md, sheet.md, api.md, glossary.md; examples/local holds settings for one machine. Queries are a table in the server.

Tests: the columns of sheet.md and the actions of api.md against the code; the example settings load; each log line of the scenarios is valid JSON.

--- a/controld/internal/explainer/why.go
+++ b/controld/internal/explainer/why.go
@@ -71,7 +71,9 @@
 	if w == nil {
 		return nil
 	}
-	answer := &Answer{Name: name, Kind: "worker", Sentences: []string{e.workerSentence(w)}, Tasks: []*Task{}}
+	answer := &Answer{Name: name, Kind: "worker", Sentences: []string{
+		fmt.Sprintf("Worker %s is in rack %s, failure domain %s. %s", name, w.Rack(), w.FailureDomain(), e.workerSentence(w)),
+	}, Tasks: []*Task{}}
 	ids := make([]string, 0, len(w.Tasks()))
 	for id := range w.Tasks() {
 		ids = append(ids, id)
@@ -85,11 +87,13 @@
 	return answer
 }
 
+var roleTitles = map[string]string{"control": "Control member", "entry": "Entry process", "target": "Target"}
+
 // whyHost explains what the list of hosts explains in one line.
 func (e *Explainer) whyHost(name string) *Answer {
 	for _, h := range append(append(e.controls(), e.entries()...), e.Targets()...) {
 		if h.Name == name {
-			return &Answer{Name: name, Kind: h.Role, Sentences: []string{h.Sentence}, Tasks: []*Task{}}
+			return &Answer{Name: name, Kind: h.Role, Sentences: []string{fmt.Sprintf("%s %s: %s", roleTitles[h.Role], name, h.Sentence)}, Tasks: []*Task{}}
 		}
 	}
 	return nil
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"flamingodrift.example/controld/internal/cell"
 	"flamingodrift.example/controld/internal/controller"
 	"flamingodrift.example/controld/internal/explainer"
 	"flamingodrift.example/core/reason"
@@ -37,6 +37,8 @@
 	ConfirmStops     uint32  `json:"confirm_stops"`
 	Worker           string  `json:"worker"`
 	Config           string  `json:"config_text"`
+	// parsed is the sheet of a plan.
+	parsed *sheet.Sheet
 }
 
 // accepted is the answer to a change.
@@ -50,28 +52,26 @@
 	if problem != nil {
 		return problem
 	}
-	switch request.GetAction() {
-	case "status":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Status() })
-	case "list":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List() })
-	case "waiting":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Waiting() })
-	case "hosts":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Hosts() })
-	case "targets":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Targets() })
-	case "history":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.History() })
-	case "why":
-		return s.why(ctx, body.Key)
-	case "plan":
-		return s.plan(ctx, body)
-	default:
+	action := request.GetAction()
+	answer, known := queries[action]
+	switch {
+	case action == "plan":
+		if body.parsed, problem = parseSheet(body.Sheet); problem != nil {
+			return problem
+		}
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
+	case known:
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
+	case slices.Contains(changeActions, action):
 		return s.change(ctx, request, body)
+	default:
+		return reply(http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf("no action %q", action)})
 	}
 }
 
+// changeActions are the actions that change what is intended.
+var changeActions = []string{"apply", "configure", "cancel", "drain", "undrain"}
+
 // decodeBody refuses unknown fields: a misspelt confirm_stops or expected_revision must not be taken as absent.
 func decodeBody(data []byte) (*changeBody, *wire.Reply) {
 	body := &changeBody{}
@@ -112,44 +112,6 @@
 	return reply(status, answer)
 }
 
-func (s *Server) why(ctx context.Context, key string) *wire.Reply {
-	return s.query(ctx, func(e *explainer.Explainer) (int, any) {
-		answer := e.Why(key)
-		if answer == nil {
-			return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf(
-				"the cell knows no job, task, worker, target, entry process or control member %q; a run that left the sheet is found by KEY@RUN", key)}
-		}
-		return http.StatusOK, answer
-	})
-}
-
-// planAnswer says what a sheet would do, and the revision to apply it from.
-type planAnswer struct {
-	*cell.Preview
-	SheetNumber       uint64 `json:"sheet_number"`
-	Revision          uint64 `json:"revision"`
-	AlreadyInForce    bool   `json:"already_in_force"`
-	NeedsConfirmation bool   `json:"needs_confirmation"`
-}
-
-func (s *Server) plan(ctx context.Context, body *changeBody) *wire.Reply {
-	parsed, problem := parseSheet(body.Sheet)
-	if problem != nil {
-		return problem
-	}
-	return s.query(ctx, func(e *explainer.Explainer) (int, any) {
-		same, refusal := e.Cell.CheckSheet(parsed.Number(), parsed.Digest())
-		if refusal != nil {
-			return http.StatusConflict, &Problem{Reason: refusal.GetReason(), Detail: refusal.GetDetail()}
-		}
-		preview := e.Cell.Preview(parsed.Jobs())
-		return http.StatusOK, &planAnswer{
-			Preview: preview, SheetNumber: parsed.Number(), Revision: e.Cell.Revision(), AlreadyInForce: same,
-			NeedsConfirmation: !same && preview.NeedsConfirmation(),
-		}
-	})
-}
-
 func parseSheet(text string) (*sheet.Sheet, *wire.Reply) {
 	parsed, err := sheet.Parse([]byte(text))
 	if err == nil {
@@ -237,7 +199,7 @@
 			Change: change, Worker: body.Worker, Drain: action == "drain",
 		}}}, nil
 	default:
-		return nil, reply(http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: "no action " + action})
+		return nil, invalid("%q is no change", action)
 	}
 }
 
--- a/controld/internal/server/operate_test.go
+++ b/controld/internal/server/operate_test.go
@@ -1,6 +1,13 @@
 package server
 
 import (
+	"context"
+	"maps"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -48,3 +55,23 @@
 		"sheet_problems":[{"line":1,"column":7,"text":"sheet number \"x\" is not a whole number above 0"}]}`,
 		string(problem.GetOperate().GetBody()))
 }
+
+// TestDocs holds docs/api.md to the actions that the server knows.
+func TestDocs(t *testing.T) {
+	data, err := os.ReadFile("../../../docs/api.md")
+	require.NoError(t, err)
+	_, section, _ := strings.Cut(string(data), "## Operators\n")
+	section, _, _ = strings.Cut(section, "| status | reasons |")
+	var documented []string
+	for _, row := range regexp.MustCompile("(?m)^\\| (`[a-z]+`(?:, `[a-z]+`)*) \\|").FindAllStringSubmatch(section, -1) {
+		documented = append(documented, strings.Split(strings.ReplaceAll(row[1], "`", ""), ", ")...)
+	}
+	require.ElementsMatch(t, append(slices.Collect(maps.Keys(queries)), changeActions...), documented)
+}
+
+// TestUnknownAction guards against a misspelt action that is answered with a demand for a change id.
+func TestUnknownAction(t *testing.T) {
+	reply := New(nil).operate(context.Background(), &wire.OperateRequest{Action: "statsu"})
+	require.EqualValues(t, http.StatusNotFound, reply.GetOperate().GetStatus())
+	require.JSONEq(t, `{"reason":"not_found","detail":"no action \"statsu\""}`, string(reply.GetOperate().GetBody()))
+}
--- /dev/null
+++ b/controld/internal/server/queries.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+
+	"flamingodrift.example/controld/internal/cell"
+	"flamingodrift.example/controld/internal/explainer"
+	"flamingodrift.example/core/reason"
+)
+
+// queries holds the actions that read only. They run on the control thread; what they return must not share memory that
+// the thread changes.
+var queries = map[string]func(e *explainer.Explainer, body *changeBody) (status int, answer any){
+	"status":  func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Status() },
+	"list":    func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.List() },
+	"waiting": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Waiting() },
+	"hosts":   func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Hosts() },
+	"targets": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Targets() },
+	"history": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.History() },
+	"why":     why,
+	"plan":    plan,
+}
+
+func why(e *explainer.Explainer, body *changeBody) (status int, answer any) {
+	if answer := e.Why(body.Key); answer != nil {
+		return http.StatusOK, answer
+	}
+	return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf(
+		"the cell knows no job, task, worker, target, entry process or control member %q; a run that left the sheet is found by KEY@RUN",
+		body.Key)}
+}
+
+// planAnswer says what a sheet would do, and the revision to apply it from.
+type planAnswer struct {
+	*cell.Preview
+	SheetNumber       uint64 `json:"sheet_number"`
+	Revision          uint64 `json:"revision"`
+	AlreadyInForce    bool   `json:"already_in_force"`
+	NeedsConfirmation bool   `json:"needs_confirmation"`
+}
+
+// plan uses the sheet that operate has parsed on the request's own thread.
+func plan(e *explainer.Explainer, body *changeBody) (status int, answer any) {
+	same, refusal := e.Cell.CheckSheet(body.parsed.Number(), body.parsed.Digest())
+	if refusal != nil {
+		return http.StatusConflict, &Problem{Reason: refusal.GetReason(), Detail: refusal.GetDetail()}
+	}
+	preview := e.Cell.Preview(body.parsed.Jobs())
+	return http.StatusOK, &planAnswer{
+		Preview: preview, SheetNumber: body.parsed.Number(), Revision: e.Cell.Revision(), AlreadyInForce: same,
+		NeedsConfirmation: !same && preview.NeedsConfirmation(),
+	}
+}
--- a/controld/main.go
+++ b/controld/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
 
@@ -65,6 +66,7 @@
 		return
 	}
 	log := logger.New(os.Stderr, "controld", cfg.Name)
+	klog.SetLogger(kratosLog{log})
 	if err := run(cfg); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
--- a/core/sheet/sheet_test.go
+++ b/core/sheet/sheet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -135,3 +136,17 @@
 		require.NoError(t, err)
 	})
 }
+
+// TestDocs holds docs/sheet.md to the columns: each with whether it is needed.
+func TestDocs(t *testing.T) {
+	data, err := os.ReadFile("../../docs/sheet.md")
+	require.NoError(t, err)
+	var documented, want []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| (yes|no) \\|").FindAllStringSubmatch(string(data), -1) {
+		documented = append(documented, row[1]+" "+row[2])
+	}
+	for _, c := range columns {
+		want = append(want, c.name+map[bool]string{true: " yes", false: " no"}[c.required])
+	}
+	require.Equal(t, want, documented)
+}
--- a/entryd/internal/settings/settings_test.go
+++ b/entryd/internal/settings/settings_test.go
@@ -92,3 +92,8 @@
 		require.Contains(t, row, fmt.Sprintf("| %d | %d to %d |", n.standard, n.lowest, n.highest), n.path)
 	}
 }
+
+// TestExample guards the settings that newcomers start from.
+func TestExample(t *testing.T) {
+	require.NoError(t, loader.Load("../../../examples/local/entryd.json", &Settings{}))
+}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/samber/oops"
 
 	"flamingodrift.example/entryd/internal/settings"
@@ -42,6 +43,7 @@
 		return
 	}
 	log := logger.New(os.Stderr, "entryd", cfg.Name)
+	klog.SetLogger(kratosLog{log})
 	if err := run(cfg); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
--- a/standin/internal/scenario/scenario_test.go
+++ b/standin/internal/scenario/scenario_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -134,7 +135,7 @@
 	}
 }
 
-// noTokens checks that no process of the cell has logged a token.
+// noTokens checks that no process of the cell has logged a token, and that each line is JSON.
 func noTokens(ts *testscript.TestScript, _ bool, _ []string) {
 	logs, err := filepath.Glob(ts.MkAbs("*.log"))
 	ts.Check(err)
@@ -143,6 +144,11 @@
 	}
 	for _, file := range logs {
 		text := ts.ReadFile(file)
+		for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+			if !json.Valid([]byte(line)) {
+				ts.Fatalf("%s holds a line that is not JSON: %s", file, line)
+			}
+		}
 		for _, token := range []string{launcher.Token, "standin-cell-token", "a-wrong-token-of-some-length"} {
 			if strings.Contains(text, token) {
 				ts.Fatalf("%s holds the token %s", file, token)
