--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -1,15 +1,19 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"time"
 
-	"flamingodrift.example/controld/internal/cell"
+	"google.golang.org/protobuf/proto"
+
 	"flamingodrift.example/controld/internal/controller"
 	"flamingodrift.example/controld/internal/explainer"
 	"flamingodrift.example/core/reason"
@@ -17,18 +21,24 @@
 	"flamingodrift.example/core/wire"
 )
 
-// maxIDBytes bounds change ids.
-const maxIDBytes = 128
+const (
+	// maxIDBytes bounds change ids.
+	maxIDBytes = 128
+	// maxNameBytes bounds the names of jobs, tasks, workers and targets: a key, a run and an index at most.
+	maxNameBytes = 300
+)
 
 // changeBody is the body of every operator request; each action reads the fields that it needs.
 type changeBody struct {
-	ChangeID         string `json:"change_id"`
-	ExpectedRevision uint64 `json:"expected_revision"`
-	Key              string `json:"key"`
-	Sheet            string `json:"sheet"`
-	ConfirmStops     uint32 `json:"confirm_stops"`
-	Worker           string `json:"worker"`
-	Config           string `json:"config_text"`
+	ChangeID         string  `json:"change_id"`
+	ExpectedRevision *uint64 `json:"expected_revision"`
+	Key              string  `json:"key"`
+	Sheet            string  `json:"sheet"`
+	ConfirmStops     uint32  `json:"confirm_stops"`
+	Worker           string  `json:"worker"`
+	Config           string  `json:"config_text"`
+	// parsed is the sheet of a plan.
+	parsed *sheet.Sheet
 }
 
 // accepted is the answer to a change.
@@ -38,32 +48,50 @@
 }
 
 func (s *Server) operate(ctx context.Context, request *wire.OperateRequest) *wire.Reply {
-	body := &changeBody{}
-	if len(request.GetBody()) > 0 {
-		if err := json.Unmarshal(request.GetBody(), body); err != nil {
-			return invalid("body is not valid JSON: %v", err)
-		}
+	body, problem := decodeBody(request.GetBody())
+	if problem != nil {
+		return problem
 	}
-	switch request.GetAction() {
-	case "status":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Status() })
-	case "list":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List(false) })
-	case "waiting":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.List(true) })
-	case "hosts":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Hosts() })
-	case "history":
-		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.History() })
-	case "why":
-		return s.why(ctx, body.Key)
-	case "plan":
-		return s.plan(ctx, body)
-	default:
+	action := request.GetAction()
+	answer, known := queries[action]
+	switch {
+	case action == "plan":
+		if body.parsed, problem = parseSheet(body.Sheet); problem != nil {
+			return problem
+		}
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
+	case known:
+		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
+	case slices.Contains(changeActions, action):
 		return s.change(ctx, request, body)
+	default:
+		return reply(http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf("no action %q", action)})
 	}
 }
 
+// changeActions are the actions that change what is intended.
+var changeActions = []string{"apply", "configure", "cancel", "drain", "undrain"}
+
+// decodeBody refuses unknown fields: a misspelt confirm_stops or expected_revision must not be taken as absent.
+func decodeBody(data []byte) (*changeBody, *wire.Reply) {
+	body := &changeBody{}
+	if len(data) == 0 {
+		return body, nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		return nil, invalid("body is not valid: %v", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, invalid("body is not valid: more follows after the first JSON value")
+	}
+	if len(body.Key) > maxNameBytes || len(body.Worker) > maxNameBytes {
+		return nil, invalid("key and worker must have at most %d bytes", maxNameBytes)
+	}
+	return body, nil
+}
+
 func invalid(format string, args ...any) *wire.Reply {
 	return reply(http.StatusBadRequest, &Problem{Reason: reason.RequestInvalid.String(), Detail: fmt.Sprintf(format, args...)})
 }
@@ -74,7 +102,8 @@
 	refusal := s.controller.Query(ctx, func(now time.Duration, view controller.View) {
 		status, answer = read(&explainer.Explainer{
 			Cell: view.Cell, Planner: view.Planner, Registrar: view.Registrar, Membership: view.Membership,
-			LeaderName: view.LeaderName, DiskFull: view.DiskFull, Now: now,
+			LeaderName: view.LeaderName, DiskFull: view.DiskFull, Now: now, Voters: view.Voters, Silent: view.Silent,
+			Tally: view.Tally,
 		})
 	})
 	if refusal != nil {
@@ -83,43 +112,6 @@
 	return reply(status, answer)
 }
 
-func (s *Server) why(ctx context.Context, key string) *wire.Reply {
-	return s.query(ctx, func(e *explainer.Explainer) (int, any) {
-		tasks, ok := e.Why(key)
-		if !ok {
-			return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf("no job %q", key)}
-		}
-		return http.StatusOK, tasks
-	})
-}
-
-// planAnswer says what a sheet would do, and the revision to apply it from.
-type planAnswer struct {
-	*cell.Preview
-	SheetNumber       uint64 `json:"sheet_number"`
-	Revision          uint64 `json:"revision"`
-	AlreadyInForce    bool   `json:"already_in_force"`
-	NeedsConfirmation bool   `json:"needs_confirmation"`
-}
-
-func (s *Server) plan(ctx context.Context, body *changeBody) *wire.Reply {
-	parsed, problem := parseSheet(body.Sheet)
-	if problem != nil {
-		return problem
-	}
-	return s.query(ctx, func(e *explainer.Explainer) (int, any) {
-		same, refusal := e.Cell.CheckSheet(parsed.Number(), parsed.Digest())
-		if refusal != nil {
-			return http.StatusConflict, &Problem{Reason: refusal.GetReason(), Detail: refusal.GetDetail()}
-		}
-		preview := e.Cell.Preview(parsed.Jobs())
-		return http.StatusOK, &planAnswer{
-			Preview: preview, SheetNumber: parsed.Number(), Revision: e.Cell.Revision(), AlreadyInForce: same,
-			NeedsConfirmation: !same && preview.NeedsConfirmation(),
-		}
-	})
-}
-
 func parseSheet(text string) (*sheet.Sheet, *wire.Reply) {
 	parsed, err := sheet.Parse([]byte(text))
 	if err == nil {
@@ -138,14 +130,17 @@
 	if body.ChangeID == "" || len(body.ChangeID) > maxIDBytes {
 		return invalid("change_id must have 1 to %d bytes", maxIDBytes)
 	}
-	digest := sha256.Sum256(append([]byte(request.GetAction()+"\n"), request.GetBody()...))
+	if body.ExpectedRevision == nil {
+		return invalid("expected_revision must be given: the revision that the change was made from")
+	}
 	change := &wire.Change{
-		Id: body.ChangeID, Operator: request.GetOperator(), ExpectedRevision: body.ExpectedRevision, Digest: digest[:],
+		Id: body.ChangeID, Operator: request.GetOperator(), ExpectedRevision: *body.ExpectedRevision,
 	}
 	command, problem := buildCommand(request.GetAction(), change, body)
 	if problem != nil {
 		return problem
 	}
+	change.Digest = contentDigest(command)
 	result, refusal := s.controller.Change(ctx, command)
 	switch {
 	case refusal != nil:
@@ -153,8 +148,31 @@
 	case result.GetReason() == "":
 		return reply(http.StatusOK, &accepted{Revision: result.GetRevision(), Detail: result.GetDetail()})
 	default:
-		return reply(statusOf(reason.Reason(result.GetReason())), &Problem{Reason: result.GetReason(), Detail: result.GetDetail()})
+		return reply(statusOf(reason.Reason(result.GetReason())), &Problem{
+			Reason: result.GetReason(), Detail: result.GetDetail(), Revision: result.GetRevision(),
+		})
+	}
+}
+
+// contentDigest identifies what a change asks for, whatever its notation and the revision it was made from. So a change
+// that is sent again after a lost answer gets its first answer, also when the sender has read a newer revision since.
+func contentDigest(command *wire.Command) []byte {
+	content := proto.Clone(command).(*wire.Command)
+	switch body := content.GetBody().(type) {
+	case *wire.Command_ApplySheet:
+		body.ApplySheet.Change = nil
+	case *wire.Command_Configure:
+		body.Configure.Change = nil
+	case *wire.Command_CancelJob:
+		body.CancelJob.Change = nil
+	case *wire.Command_DrainWorker:
+		body.DrainWorker.Change = nil
 	}
+	// Fields are written in the order of their numbers; there are no maps. An error means text that is not UTF-8, which
+	// JSON decoding rules out.
+	data, _ := proto.MarshalOptions{Deterministic: true}.Marshal(content)
+	digest := sha256.Sum256(data)
+	return digest[:]
 }
 
 func buildCommand(action string, change *wire.Change, body *changeBody) (*wire.Command, *wire.Reply) {
@@ -181,7 +199,7 @@
 			Change: change, Worker: body.Worker, Drain: action == "drain",
 		}}}, nil
 	default:
-		return nil, reply(http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: "no action " + action})
+		return nil, invalid("%q is no change", action)
 	}
 }
 
--- /dev/null
+++ b/controld/internal/server/operate_test.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/wire"
+)
+
+func digestOf(t *testing.T, action string, revision uint64, body string) []byte {
+	parsed, problem := decodeBody([]byte(body))
+	require.Nil(t, problem)
+	command, problem := buildCommand(action, &wire.Change{Id: "x", ExpectedRevision: revision}, parsed)
+	require.Nil(t, problem)
+	return contentDigest(command)
+}
+
+// TestContentDigest guards against a resent change being taken for another because of its notation or a newer
+// revision, and against two different changes being taken for one.
+func TestContentDigest(t *testing.T) {
+	first := digestOf(t, "drain", 1, `{"worker":"w"}`)
+	require.Equal(t, first, digestOf(t, "drain", 2, `{ "change_id": "x", "worker": "w" }`))
+	require.NotEqual(t, first, digestOf(t, "undrain", 1, `{"worker":"w"}`))
+	require.NotEqual(t, first, digestOf(t, "drain", 1, `{"worker":"v"}`))
+	sheet := `sheet,1\nkey,team,kind,processors,memory_mb,command\na,t,batch,1,1,x\n`
+	applied := digestOf(t, "apply", 1, `{"sheet":"`+sheet+`"}`)
+	require.Equal(t, applied, digestOf(t, "apply", 1, `{"sheet":"`+sheet+`\n"}`))
+	require.NotEqual(t, applied, digestOf(t, "apply", 1, `{"sheet":"`+sheet+`","confirm_stops":3}`))
+}
+
+// TestBodies guards against misspelt fields being taken as absent.
+func TestBodies(t *testing.T) {
+	for _, body := range []string{`{"confirmstops":1}`, `{} {}`, `[]`, `{"expected_revision":-1}`, `{`} {
+		_, problem := decodeBody([]byte(body))
+		require.NotNil(t, problem, body)
+		require.EqualValues(t, 400, problem.GetOperate().GetStatus(), body)
+	}
+	body, problem := decodeBody(nil)
+	require.Nil(t, problem)
+	require.Nil(t, body.ExpectedRevision)
+}
+
+// TestSheetProblemsReachTheOperator guards the lines and columns in the API's answer.
+func TestSheetProblemsReachTheOperator(t *testing.T) {
+	_, problem := parseSheet("sheet,x\n")
+	require.JSONEq(t, `{"reason":"request_invalid","detail":"the sheet has errors; nothing was applied",
+		"sheet_problems":[{"line":1,"column":7,"text":"sheet number \"x\" is not a whole number above 0"}]}`,
+		string(problem.GetOperate().GetBody()))
+}
+
+// TestDocs holds docs/api.md to the actions that the server knows.
+func TestDocs(t *testing.T) {
+	data, err := os.ReadFile("../../../docs/api.md")
+	require.NoError(t, err)
+	_, section, _ := strings.Cut(string(data), "## Operators\n")
+	section, _, _ = strings.Cut(section, "| status | reasons |")
+	var documented []string
+	for _, row := range regexp.MustCompile("(?m)^\\| (`[a-z]+`(?:, `[a-z]+`)*) \\|").FindAllStringSubmatch(section, -1) {
+		documented = append(documented, strings.Split(strings.ReplaceAll(row[1], "`", ""), ", ")...)
+	}
+	require.ElementsMatch(t, append(slices.Collect(maps.Keys(queries)), changeActions...), documented)
+}
+
+// TestUnknownAction guards against a misspelt action that is answered with a demand for a change id.
+func TestUnknownAction(t *testing.T) {
+	reply := New(nil).operate(context.Background(), &wire.OperateRequest{Action: "statsu"})
+	require.EqualValues(t, http.StatusNotFound, reply.GetOperate().GetStatus())
+	require.JSONEq(t, `{"reason":"not_found","detail":"no action \"statsu\""}`, string(reply.GetOperate().GetBody()))
+}
