--- a/controld/internal/claim/claim.go
+++ b/controld/internal/claim/claim.go
@@ -16,6 +16,8 @@
 	// MaxKeptBytes bounds all kept answers together, because a daemon has 32 MB.
 	MaxKeptBytes = 4 << 20
 	Retention    = 24 * time.Hour
+	// MaxWithdrawn bounds the claim ids that were given back and are remembered.
+	MaxWithdrawn = 4_096
 )
 
 type key struct {
@@ -37,16 +39,20 @@
 	ages      *list.List
 	keptBytes int
 	running   map[string]int
+	withdrawn *withdrawals
 }
 
 // New returns an empty Book.
 func New() *Book {
-	return &Book{entries: map[key]*entry{}, ages: list.New(), running: map[string]int{}}
+	return &Book{entries: map[key]*entry{}, ages: list.New(), running: map[string]int{}, withdrawn: newWithdrawals()}
 }
 
 // Open claims a key, or says what became of an earlier request with it. Opening again with the same claim id repeats
 // the first reply.
 func (b *Book) Open(request *wire.ClaimRequest, nowUnixMs int64) *wire.ClaimReply {
+	if b.withdrawn.has(request.GetClaimId()) {
+		return &wire.ClaimReply{State: wire.ClaimState_CLAIM_STATE_WITHDRAWN}
+	}
 	k := key{request.GetCaller(), request.GetKey()}
 	if e := b.entries[k]; e != nil {
 		return e.reply(request)
@@ -88,9 +94,13 @@
 	return &wire.ClaimReply{State: e.state, Answer: e.answer}
 }
 
-// Settle records how a claimed request ended. A request that was provably not sent gives its key back. A late answer
-// replaces an unknown outcome.
+// Settle records how a claimed request ended. A request that was provably not sent gives its key back, and its claim id
+// is never granted any more: the entry process repeats a claim whose reply was lost, so a copy may arrive later. A late
+// answer replaces an unknown outcome.
 func (b *Book) Settle(settle *wire.SettleRequest) {
+	if settle.GetState() == wire.ClaimState_CLAIM_STATE_UNSPECIFIED {
+		b.withdrawn.add(settle.GetClaimId())
+	}
 	k := key{settle.GetCaller(), settle.GetKey()}
 	e := b.entries[k]
 	if e == nil || e.request.GetClaimId() != settle.GetClaimId() {
@@ -224,20 +234,24 @@
 	return holders
 }
 
-// State returns the claims for a snapshot, the oldest first.
+// State returns the claims, then the withdrawn claim ids, for a snapshot, each the oldest first.
 func (b *Book) State() []*wire.ClaimEntry {
 	states := make([]*wire.ClaimEntry, 0, b.ages.Len())
 	for at := b.ages.Front(); at != nil; at = at.Next() {
 		e := at.Value.(*entry)
 		states = append(states, &wire.ClaimEntry{Request: e.request, State: e.state, Answer: e.answer, SinceUnixMs: e.since})
 	}
-	return states
+	return append(states, b.withdrawn.state()...)
 }
 
 // Restore returns a Book from a snapshot.
 func Restore(states []*wire.ClaimEntry) *Book {
 	b := New()
 	for _, s := range states {
+		if s.GetState() == wire.ClaimState_CLAIM_STATE_WITHDRAWN {
+			b.withdrawn.add(s.GetRequest().GetClaimId())
+			continue
+		}
 		e := &entry{request: s.GetRequest(), state: s.GetState(), answer: s.GetAnswer(), since: s.GetSinceUnixMs()}
 		b.insert(key{s.GetRequest().GetCaller(), s.GetRequest().GetKey()}, e)
 		b.keptBytes += answerBytes(e.answer)
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -37,6 +37,10 @@
 	}
 	c.leads, c.leadingTerm = true, c.repl.Term()
 	c.reg = registrar.New(c.cfg.Registrar, c.repl.Term(), workers, holders, now)
+	if c.cell.Config().GetRevision() == 0 {
+		// Without a configuration every request is refused.
+		c.reg.NeverServed()
+	}
 	c.plan = planner.New(c.cfg.Planner)
 	c.deciding, c.workerBatch, c.pending = false, nil, map[string]bool{}
 	c.seenAlive = map[string]time.Duration{}
@@ -135,6 +139,7 @@
 		e.reply(refused(&wire.Refusal{Reason: reason.DiskFull.String(), Detail: "the leader's disk is full"}))
 		return
 	}
+	c.reg.Track(e.request.GetEntry(), e.request.GetBoot(), now)
 	command := &wire.Command{Body: &wire.Command_OpenClaim{OpenClaim: &wire.OpenClaim{Request: e.request}}}
 	c.propose(now, command, func(result *wire.Result) {
 		if result.GetReason() != "" {
--- a/controld/internal/explainer/explainer.go
+++ b/controld/internal/explainer/explainer.go
@@ -228,6 +228,9 @@
 			h.State = "leaving"
 		}
 		h.Sentence = fmt.Sprintf("It serves %s with %d slots through %s.", t.Service, t.Slots, t.Owner)
+		if t.Reserved > 0 {
+			h.Sentence += fmt.Sprintf(" %d slots stay unused; former owners that have not confirmed: %v.", t.Reserved, t.FormerOwners)
+		}
 		hosts = append(hosts, h)
 	}
 	return hosts
--- a/controld/internal/registrar/registrar.go
+++ b/controld/internal/registrar/registrar.go
@@ -33,6 +33,10 @@
 	epoch   uint64
 	// assignableAt is when leases of entry processes that an earlier leader granted have run out.
 	assignableAt time.Duration
+	neverServed  bool
+	// knownUntil is when every target that had an owner under an earlier leader has been heard of. A target that
+	// appears later is taken for a new one.
+	knownUntil time.Duration
 }
 
 type workerLease struct {
@@ -56,13 +60,17 @@
 		r.workers[name] = &workerLease{boot: boot, until: now + r.workerTerm()}
 	}
 	for _, h := range holders {
-		r.entries[h.Entry+"\x00"+h.Boot] = &entry{
+		r.entries[placeholderKey(h.Entry, h.Boot)] = &entry{
 			name: h.Entry, boot: h.Boot, until: r.assignableAt, placeholder: true,
 		}
 	}
 	return r
 }
 
+// NeverServed says that no entry process can have sent a request before this leader was elected, as in a new cell.
+// Otherwise each target that nobody claims counts as having had an owner.
+func (r *Registrar) NeverServed() { r.neverServed = true }
+
 func (c Config) withDrift(d time.Duration) time.Duration {
 	return d + d*time.Duration(c.DriftPercent)/100
 }
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -28,6 +28,7 @@
 	Sheet            string `json:"sheet"`
 	ConfirmStops     uint32 `json:"confirm_stops"`
 	Worker           string `json:"worker"`
+	Entry            string `json:"entry"`
 	Config           string `json:"config_text"`
 }
 
@@ -55,6 +56,8 @@
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.Hosts() })
 	case "history":
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return http.StatusOK, e.History() })
+	case "forget-entry":
+		return s.forgetEntry(ctx, body.Entry)
 	case "why":
 		return s.why(ctx, body.Key)
 	case "plan":
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -39,10 +39,13 @@
 	steward    *steward.Steward
 	dispatcher *dispatcher.Dispatcher
 	gateway    *gateway.Gateway
+	claimer    *claimer.Claimer
 	clock      clock.Clock
 	leaving    atomic.Bool
-	cancel     context.CancelFunc
-	done       chan struct{}
+	// replying counts forwarded requests whose reply may not have been written yet.
+	replying atomic.Int64
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 func assemble(cfg *settings.Settings) (*daemon, error) {
@@ -57,17 +60,19 @@
 	})
 	boot := fmt.Sprintf("%016x-%d", time.Now().UnixNano(), os.Getpid())
 	leader := locator.New(locator.Config{Messenger: d.messenger, Controls: cfg.Controls})
-	targets := roster.New(cfg.BeatMs)
 	d.dispatcher = dispatcher.New(dispatcher.Config{Clock: d.clock})
+	targets := roster.New(roster.Config{
+		Renew: settings.Duration(cfg.BeatMs), Clock: d.clock, Leaving: d.dispatcher.Leaving,
+	})
 	d.steward = steward.New(steward.Config{
 		Name: cfg.Name, Boot: boot, Address: cfg.AdvertiseAddress, FailureDomain: cfg.FailureDomain,
 		Beat: settings.Duration(cfg.BeatMs), Currency: settings.Duration(cfg.CurrencyMs), Clock: d.clock,
-		Locator: leader, Dispatcher: d.dispatcher, Roster: targets, Logger: log,
+		Leader: leader, Dispatcher: d.dispatcher, Roster: targets, Logger: log,
 	})
+	d.claimer = claimer.New(claimer.Config{Leader: leader, Entry: cfg.Name, Boot: boot})
 	d.gateway = gateway.New(gateway.Config{
-		Steward: d.steward, Dispatcher: d.dispatcher, Retrier: retrier.New(), Messenger: d.messenger, Clock: d.clock,
-		Claimer: claimer.New(claimer.Config{Locator: leader, Entry: cfg.Name, Boot: boot}),
-		Meter:   counters, Logger: log,
+		Control: d.steward, Dispatcher: d.dispatcher, Retrier: retrier.New(), Peers: d.messenger, Clock: d.clock,
+		Claimer: d.claimer, Meter: counters, Logger: log,
 	})
 	operators := make([]console.Operator, 0, len(cfg.Operators))
 	for _, o := range cfg.Operators {
@@ -94,6 +99,9 @@
 
 func (d *daemon) handle(ctx context.Context, request *wire.Request) *wire.Reply {
 	if forward := request.GetForward(); forward != nil {
+		// The messenger writes the reply after this returns; the delay keeps a shutdown from cutting it off.
+		d.replying.Add(1)
+		defer time.AfterFunc(replyGrace, func() { d.replying.Add(-1) })
 		return d.gateway.Forwarded(ctx, forward)
 	}
 	return &wire.Reply{Body: &wire.Reply_Refusal{Refusal: &wire.Refusal{
@@ -131,10 +139,16 @@
 	return nil
 }
 
-// Stop ends the control thread and closes all sessions.
-func (d *daemon) Stop(context.Context) error {
+// Stop ends the control thread, hands the leases back and closes all sessions.
+func (d *daemon) Stop(ctx context.Context) error {
 	d.cancel()
 	<-d.done
+	if d.gateway.Active() == 0 && d.dispatcher.Busy() == 0 {
+		ctx, cancel := context.WithTimeout(ctx, endTimeout)
+		defer cancel()
+		// Without an answer the lease runs out, as after a crash.
+		_ = d.steward.End(ctx)
+	}
 	d.messenger.Close()
 	return d.listener.Close()
 }
--- a/entryd/internal/dispatcher/connection.go
+++ b/entryd/internal/dispatcher/connection.go
@@ -4,14 +4,16 @@
 	"bufio"
 	"errors"
 	"net"
-	"os"
-	"time"
+	"syscall"
 )
 
-// countingConn counts the bytes that were handed to the kernel.
+var errAnswerTooLarge = errors.New("the answer exceeds the limit")
+
+// countingConn counts the bytes that were handed to the kernel and bounds those of one answer.
 type countingConn struct {
 	net.Conn
-	written int64
+	written  int64
+	readLeft int64
 }
 
 // Write passes data on.
@@ -21,29 +23,45 @@
 	return n, err
 }
 
+// Read passes data on until the bound is reached.
+func (c *countingConn) Read(data []byte) (int, error) {
+	if c.readLeft <= 0 {
+		return 0, errAnswerTooLarge
+	}
+	n, err := c.Conn.Read(data[:min(int64(len(data)), c.readLeft)])
+	c.readLeft -= int64(n)
+	return n, err
+}
+
 // connection is one connection to a target. It carries one exchange at a time.
 type connection struct {
 	conn   *countingConn
 	reader *bufio.Reader
-	writer *bufio.Writer
 }
 
 func newConnection(conn net.Conn) *connection {
 	counting := &countingConn{Conn: conn}
-	return &connection{conn: counting, reader: bufio.NewReader(counting), writer: bufio.NewWriter(counting)}
+	return &connection{conn: counting, reader: bufio.NewReader(counting)}
 }
 
 // clean reports whether an idle connection is open and nothing arrived on it. Bytes that nobody asked for could be taken
-// for the answer to the next request.
+// for the answer to the next request. The kernel is asked directly: a read with a short deadline ends without looking at
+// the socket when the process is slow.
 func (c *connection) clean() bool {
-	if c.reader.Buffered() > 0 {
+	raw, ok := c.conn.Conn.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 {
 		return false
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(time.Millisecond / 10)); err != nil {
+	control, err := raw.SyscallConn()
+	if err != nil {
 		return false
 	}
-	_, err := c.reader.Peek(1)
-	return errors.Is(err, os.ErrDeadlineExceeded) && c.conn.SetReadDeadline(time.Time{}) == nil
+	var peeked error
+	err = control.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
 }
 
 func (c *connection) close() { _ = c.conn.Close() }
--- a/entryd/internal/dispatcher/dispatcher.go
+++ b/entryd/internal/dispatcher/dispatcher.go
@@ -3,19 +3,24 @@
 package dispatcher
 
 import (
+	"sort"
 	"sync"
 	"time"
 
 	"flamingodrift.example/entryd/internal/router"
 
-	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
 
+// Clock reads the monotonic time that leases are measured with.
+type Clock interface {
+	Now() time.Duration
+}
+
 // Config holds what a Dispatcher needs.
 type Config struct {
-	Clock clock.Clock
+	Clock Clock
 }
 
 // Dispatcher is safe for concurrent use.
@@ -27,52 +32,21 @@
 	services   map[string][]*target
 	queues     map[string]*queue
 	leaseUntil time.Duration
+	busy       int
+	order      uint64
+	// leaving maps targets to the boot that announced here that it leaves. The leader's copy may be older.
+	leaving map[string]string
 }
 
 // New returns a Dispatcher without targets.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, targets: map[string]*target{}, services: map[string][]*target{}, queues: map[string]*queue{}}
-}
-
-// Renew extends the lease on all owned targets. It never shortens it.
-func (d *Dispatcher) Renew(until time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leaseUntil = max(d.leaseUntil, until)
-}
-
-// Update replaces the set of owned targets. Targets that are gone get no new request; requests in progress go on.
-func (d *Dispatcher) Update(owned []*wire.Ownership) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	keep := make(map[string]bool, len(owned))
-	for _, o := range owned {
-		name := o.GetTarget().GetTarget()
-		keep[name] = true
-		t := d.targets[name]
-		if t == nil || t.replacedBy(o) {
-			if t != nil {
-				t.retire()
-			}
-			t = newTarget(o)
-			d.targets[name] = t
-		}
-		t.update(o)
-	}
-	for name, t := range d.targets {
-		if !keep[name] {
-			t.retire()
-			if t.used == 0 {
-				delete(d.targets, name)
-			}
-		}
-	}
-	d.rebuild()
-	for service, q := range d.queues {
-		d.wake(service, q)
+	return &Dispatcher{
+		cfg: cfg, targets: map[string]*target{}, services: map[string][]*target{}, queues: map[string]*queue{},
+		leaving: map[string]string{},
 	}
 }
 
+// rebuild lists the targets of each service by name.
 func (d *Dispatcher) rebuild() {
 	d.services = map[string][]*target{}
 	for _, t := range d.targets {
@@ -80,25 +54,12 @@
 			d.services[t.service] = append(d.services[t.service], t)
 		}
 	}
-}
-
-// Owned lists the targets that this process still uses, for the beat. A retired target stays listed until its last
-// request has ended, so that the next owner starts with free slots.
-func (d *Dispatcher) Owned() []*wire.OwnedTarget {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var owned []*wire.OwnedTarget
-	for name, t := range d.targets {
-		if t.retired && t.used == 0 {
-			delete(d.targets, name)
-			continue
-		}
-		owned = append(owned, &wire.OwnedTarget{Target: name, Epoch: t.epoch})
+	for _, targets := range d.services {
+		sort.Slice(targets, func(a, b int) bool { return targets[a].name < targets[b].name })
 	}
-	return owned
 }
 
-// Loads returns the free slots and the queue of each service.
+// Loads returns the free slots and the queue of each service. Free slots that waiting requests will take do not count.
 func (d *Dispatcher) Loads() []*wire.ServiceLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -113,6 +74,7 @@
 		}
 		loads = append(loads, load)
 	}
+	sort.Slice(loads, func(a, b int) bool { return loads[a].GetService() < loads[b].GetService() })
 	return loads
 }
 
@@ -120,17 +82,18 @@
 func (d *Dispatcher) Busy() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	busy := 0
-	for _, t := range d.targets {
-		busy += t.used
-	}
-	return busy
+	return d.busy
 }
 
-// Acquire takes a free slot of the service now, or says why there is none.
+// Acquire takes a free slot of the service now, or says why there is none. It does not overtake waiting requests.
 func (d *Dispatcher) Acquire(service string, now time.Duration) (*Slot, reason.Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if q := d.queues[service]; q != nil {
+		if d.wake(service, q, now); len(q.waiting) > 0 {
+			return nil, reason.NoFreeSlot
+		}
+	}
 	return d.acquire(service, now)
 }
 
@@ -144,7 +107,7 @@
 	}
 	candidates := make([]router.Candidate, len(targets))
 	for i, t := range targets {
-		candidates[i] = router.Candidate{Used: t.used, Limit: t.limit(), Weight: t.weight(now)}
+		candidates[i] = router.Candidate{Used: t.used, Limit: t.limit(), Weight: t.weight(), Probe: t.probeDue(now)}
 	}
 	at := router.Choose(candidates)
 	if at < 0 {
@@ -152,6 +115,8 @@
 	}
 	t := targets[at]
 	t.used++
+	d.busy++
+	t.chosen(now)
 	return &Slot{dispatcher: d, target: t}, reason.None
 }
 
@@ -160,7 +125,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t.used--
+	d.busy--
 	if q := d.queues[t.service]; q != nil {
-		d.wake(t.service, q)
+		d.wake(t.service, q, d.cfg.Clock.Now())
 	}
 }
--- /dev/null
+++ b/entryd/internal/dispatcher/grant.go
@@ -0,0 +1,110 @@
+package dispatcher
+
+import (
+	"sort"
+	"time"
+
+	"flamingodrift.example/core/wire"
+)
+
+// Grant is what a reply of the leader grants.
+type Grant struct {
+	// Until is when the lease ends, on the monotonic clock; the lease is never shortened.
+	Until time.Duration
+	// Changed is set when Owned replaces the set of targets.
+	Changed bool
+	Owned   []*wire.Ownership
+}
+
+// Take takes over a grant. Targets that are gone get no new request; requests in progress go on. The set of targets
+// changes before the lease is extended, so that no target is used under a lease that it is not part of.
+func (d *Dispatcher) Take(g Grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if g.Changed {
+		d.replace(g.Owned)
+	}
+	d.leaseUntil = max(d.leaseUntil, g.Until)
+	d.wakeAll()
+}
+
+// Lapsed reports whether the lease has ended.
+func (d *Dispatcher) Lapsed(now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now >= d.leaseUntil
+}
+
+func (d *Dispatcher) wakeAll() {
+	now := d.cfg.Clock.Now()
+	for service, q := range d.queues {
+		d.wake(service, q, now)
+	}
+}
+
+func (d *Dispatcher) replace(owned []*wire.Ownership) {
+	keep := make(map[string]bool, len(owned))
+	for _, o := range owned {
+		name := o.GetTarget().GetTarget()
+		keep[name] = true
+		t := d.targets[name]
+		if t == nil || t.replacedBy(o) {
+			if t != nil {
+				t.retire()
+			}
+			t = newTarget(o)
+			d.targets[name] = t
+		}
+		t.update(o)
+		if boot, heard := d.leaving[name]; heard {
+			t.leaving = t.leaving || boot == t.boot
+			if boot != t.boot {
+				delete(d.leaving, name)
+			}
+		}
+	}
+	for name, t := range d.targets {
+		if !keep[name] {
+			t.retire()
+			d.forget(name, t)
+		}
+	}
+	d.rebuild()
+}
+
+func (d *Dispatcher) forget(name string, t *target) {
+	if t.retired && t.used == 0 {
+		delete(d.targets, name)
+	}
+}
+
+// Leaving stops new requests to a target that announced to this process that it leaves.
+func (d *Dispatcher) Leaving(name, boot string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving[name] = boot
+	if t := d.targets[name]; t != nil && t.boot == boot {
+		t.leaving = true
+	}
+}
+
+// Owned lists the targets that this process still uses, for the beat. A retired target stays listed until its last
+// request has ended, so that the next owner starts with free slots. A full list carries the targets' states.
+func (d *Dispatcher) Owned(full bool) []*wire.OwnedTarget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lapsed := d.cfg.Clock.Now() >= d.leaseUntil
+	var owned []*wire.OwnedTarget
+	for name, t := range d.targets {
+		if d.forget(name, t); t.retired && t.used == 0 {
+			continue
+		}
+		o := &wire.OwnedTarget{Target: name, Epoch: t.epoch, Ended: t.retired || lapsed && full}
+		if full {
+			o.State, o.FormerOwners, o.ReservedSlots = t.state, t.formers, uint32(t.reserved)
+		}
+		owned = append(owned, o)
+	}
+	sort.Slice(owned, func(a, b int) bool { return owned[a].GetTarget() < owned[b].GetTarget() })
+	return owned
+}
--- /dev/null
+++ b/entryd/internal/dispatcher/health.go
@@ -0,0 +1,122 @@
+package dispatcher
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+const (
+	// failureWeight is the factor by which a failure lowers a target's health; a success raises it by recoveryStep.
+	failureWeight = 0.5
+	recoveryStep  = 0.1
+	// onlyProbes is the weight below which a target gets nothing but probes.
+	onlyProbes = 0.1
+	// probeWeight is the weight below which an idle target gets a probe in each interval. A target of such a weight looks
+	// fuller than any other with a free slot, so without probes it would never be chosen again.
+	probeWeight      = 0.5
+	minProbeInterval = 500 * time.Millisecond
+	maxProbeInterval = 30 * time.Second
+	// latencyShare is the weight of a new sample in a target's mean answer time.
+	latencyShare = 0.2
+	// slowFactor is how many times the usual answer time of its service a target may take, and slowMargin how much
+	// longer it must take at least, before it counts as slow.
+	slowFactor = 2
+	slowMargin = 20 * time.Millisecond
+)
+
+// health is what is known of how well a target answers.
+type health struct {
+	score         float64
+	latency       time.Duration
+	slowness      float64
+	probeInterval time.Duration
+	probeAt       time.Duration
+}
+
+func newHealth() health { return health{score: 1, slowness: 1} }
+
+// weight returns the share of requests that the target's health allows, from 0 to 1.
+func (h *health) weight() float64 {
+	if w := h.score * h.slowness; w >= onlyProbes {
+		return w
+	}
+	return 0
+}
+
+func (t *target) probeDue(now time.Duration) bool {
+	return t.score*t.slowness < probeWeight && t.used == 0 && now >= t.probeAt
+}
+
+func (h *health) chosen(now time.Duration) {
+	h.probeAt = now + max(h.probeInterval, minProbeInterval)
+}
+
+func (h *health) succeeded() {
+	h.score = min(h.score+recoveryStep, 1)
+	h.probeInterval = 0
+}
+
+func (h *health) failed(now time.Duration) {
+	h.score *= failureWeight
+	h.probeInterval = min(max(2*h.probeInterval, minProbeInterval), maxProbeInterval)
+	h.probeAt = now + h.probeInterval
+}
+
+func (h *health) sample(took time.Duration) {
+	if h.latency == 0 {
+		h.latency = took
+		return
+	}
+	h.latency += time.Duration(latencyShare * float64(took-h.latency))
+}
+
+// note adjusts the target's health after an exchange that took a time. Only the target's own failures count: when the
+// caller gave up, the time it waited counts as an answer time if it is longer than usual.
+func (d *Dispatcher) note(t *target, failure *Failure, answer *wire.Answer, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Clock.Now()
+	switch {
+	case failure == nil && answer.GetStatus() < http.StatusInternalServerError:
+		t.succeeded()
+		t.sample(took)
+	case failure == nil:
+		t.failed(now)
+	case failure.Reason == reason.DeadlineExceeded:
+		if took <= t.latency || t.latency == 0 && took < slowMargin {
+			return
+		}
+		t.sample(took)
+	case failure.Reason == reason.AnswerBroken || failure.Reason == reason.TargetUnreachable:
+		t.failed(now)
+		return
+	default:
+		return
+	}
+	d.compare(t.service)
+}
+
+// compare sets how slow each target of a service is in comparison with the others.
+func (d *Dispatcher) compare(service string) {
+	var latencies []time.Duration
+	for _, t := range d.services[service] {
+		if t.latency > 0 {
+			latencies = append(latencies, t.latency)
+		}
+	}
+	if len(latencies) < 2 {
+		return
+	}
+	sort.Slice(latencies, func(a, b int) bool { return latencies[a] < latencies[b] })
+	usual := latencies[(len(latencies)-1)/2]
+	for _, t := range d.services[service] {
+		t.slowness = 1
+		if t.latency > slowFactor*usual && t.latency > usual+slowMargin {
+			t.slowness = float64(slowFactor*usual) / float64(t.latency)
+		}
+	}
+}
--- a/entryd/internal/dispatcher/queue.go
+++ b/entryd/internal/dispatcher/queue.go
@@ -2,73 +2,115 @@
 
 import (
 	"context"
+	"sort"
+	"time"
 
 	"flamingodrift.example/core/reason"
 )
 
+// Ticket is a request's place in the queue of its service. It keeps the place over several calls of Wait. The zero value
+// is a request that has not waited yet.
+type Ticket struct {
+	order uint64
+	// turn receives a slot, or nil when an older request took the place in a full queue.
+	turn chan *Slot
+}
+
 // queue holds the requests of one service that wait for a slot, the oldest first.
 type queue struct {
-	waiting []chan *Slot
+	waiting []*Ticket
 }
 
-// Wait queues for a slot until the context ends. At most limit requests of a service wait.
-func (d *Dispatcher) Wait(ctx context.Context, service string, limit int) (*Slot, reason.Reason) {
-	d.mu.Lock()
-	slot, why := d.acquire(service, d.cfg.Clock.Now())
-	if slot != nil {
-		d.mu.Unlock()
-		return slot, reason.None
+// Wait queues for a slot until the context ends; then it returns why there was none. At most limit requests of a service
+// wait; when the queue is full, the youngest is refused with QueueFull.
+func (d *Dispatcher) Wait(ctx context.Context, service string, limit int, ticket *Ticket) (*Slot, reason.Reason) {
+	if ctx.Err() != nil {
+		return nil, reason.DeadlineExceeded
+	}
+	q, slot, why := d.enqueue(service, limit, ticket)
+	if slot != nil || why == reason.QueueFull {
+		return slot, why
+	}
+	select {
+	case slot = <-ticket.turn:
+	case <-ctx.Done():
+		var waiting bool
+		if slot, waiting = d.leave(q, ticket); waiting {
+			return nil, why
+		}
 	}
-	if why == reason.LeaseEnded {
-		d.mu.Unlock()
-		return nil, why
+	if slot == nil {
+		return nil, reason.QueueFull
 	}
+	return slot, reason.None
+}
+
+func (d *Dispatcher) enqueue(service string, limit int, ticket *Ticket) (*queue, *Slot, reason.Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Clock.Now()
 	q := d.queues[service]
 	if q == nil {
 		q = &queue{}
 		d.queues[service] = q
 	}
-	if len(q.waiting) >= limit {
-		d.mu.Unlock()
-		return nil, reason.QueueFull
+	if ticket.order == 0 {
+		d.order++
+		ticket.order = d.order
 	}
-	turn := make(chan *Slot, 1)
-	q.waiting = append(q.waiting, turn)
-	d.mu.Unlock()
-	select {
-	case slot := <-turn:
-		return slot, reason.None
-	case <-ctx.Done():
-		return d.leave(q, turn)
+	d.wake(service, q, now)
+	slot, why := (*Slot)(nil), reason.NoFreeSlot
+	if len(q.waiting) == 0 || ticket.order < q.waiting[0].order {
+		if slot, why = d.acquire(service, now); slot != nil {
+			return q, slot, reason.None
+		}
+	}
+	if !q.insert(ticket, limit) {
+		return q, nil, reason.QueueFull
 	}
+	return q, nil, why
 }
 
-// leave takes a request out of the queue; a slot that was handed over meanwhile is given back.
-func (d *Dispatcher) leave(q *queue, turn chan *Slot) (*Slot, reason.Reason) {
+// insert puts a ticket in its place. In a full queue it takes the place of the youngest, if that is younger.
+func (q *queue) insert(ticket *Ticket, limit int) bool {
+	if last := len(q.waiting) - 1; len(q.waiting) >= limit {
+		if last < 0 || q.waiting[last].order < ticket.order {
+			return false
+		}
+		q.waiting[last].turn <- nil
+		q.waiting = q.waiting[:last]
+	}
+	ticket.turn = make(chan *Slot, 1)
+	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].order > ticket.order })
+	q.waiting = append(q.waiting, nil)
+	copy(q.waiting[at+1:], q.waiting[at:])
+	q.waiting[at] = ticket
+	return true
+}
+
+// leave takes a request out of the queue and reports whether it was still waiting. Otherwise it returns what was handed
+// over meanwhile.
+func (d *Dispatcher) leave(q *queue, ticket *Ticket) (slot *Slot, waiting bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	for i, waiting := range q.waiting {
-		if waiting == turn {
+		if waiting == ticket {
 			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			break
+			return nil, true
 		}
 	}
-	d.mu.Unlock()
-	select {
-	case slot := <-turn:
-		slot.Release()
-	default:
-	}
-	return nil, reason.DeadlineExceeded
+	return <-ticket.turn, false
 }
 
 // wake hands free slots to waiting requests.
-func (d *Dispatcher) wake(service string, q *queue) {
+func (d *Dispatcher) wake(service string, q *queue, now time.Duration) {
 	for len(q.waiting) > 0 {
-		slot, _ := d.acquire(service, d.cfg.Clock.Now())
+		slot, _ := d.acquire(service, now)
 		if slot == nil {
 			return
 		}
-		q.waiting[0] <- slot
+		q.waiting[0].turn <- slot
+		q.waiting[0] = nil
 		q.waiting = q.waiting[1:]
 	}
 }
--- /dev/null
+++ b/entryd/internal/gateway/forward.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"flamingodrift.example/entryd/internal/dispatcher"
+
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// forward asks the peers with free slots, the one with most first, until one takes the request. The step is empty when
+// none did.
+func (g *Gateway) forward(ctx context.Context, c *call) step {
+	state, service := g.cfg.Control.State(), c.service.GetName()
+	for range state.Peers {
+		left := remaining(ctx)
+		address, ok := g.peers.take(state, service)
+		if !ok || left <= 0 {
+			return step{}
+		}
+		reply, err := g.cfg.Peers.Call(ctx, address, &wire.Request{Body: &wire.Request_Forward{Forward: &wire.ForwardRequest{
+			Service: service, Caller: c.caller, Method: c.request.Method, Path: c.request.Path,
+			Headers: c.request.Headers, Body: c.request.Body, DeadlineMs: uint32(left), Idempotent: c.idempotent,
+		}}})
+		var callError *messenger.Error
+		switch {
+		case errors.As(err, &callError) && !callError.Sent:
+			g.peers.learn(address, service, 0)
+			continue
+		case err != nil && ctx.Err() != nil:
+			return step{failure: &dispatcher.Failure{Sent: true, Reason: reason.DeadlineExceeded, Cause: err}}
+		case err != nil:
+			g.peers.learn(address, service, 0)
+			return step{failure: &dispatcher.Failure{Sent: true, Reason: reason.AnswerBroken, Cause: err}}
+		}
+		g.peers.learn(address, service, int(reply.GetForward().GetFreeSlots()))
+		if s := fromPeer(reply); s.res != nil || s.failure != nil {
+			return s
+		}
+	}
+	return step{}
+}
+
+// remaining returns the time to the context's deadline in milliseconds.
+func remaining(ctx context.Context) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok || ctx.Err() != nil {
+		return 0
+	}
+	return max(time.Until(deadline).Milliseconds(), 0)
+}
+
+// notTaken are the reasons of a peer that did not try the request. All others cost a retry.
+var notTaken = map[reason.Reason]bool{
+	reason.NoTarget: true, reason.NoFreeSlot: true, reason.LeaseEnded: true, reason.NotCurrent: true,
+	reason.ShuttingDown: true,
+}
+
+// fromPeer reads a peer's reply. The step is empty when the peer took nothing.
+func fromPeer(reply *wire.Reply) step {
+	if reply.GetRefusal() != nil {
+		return step{}
+	}
+	forward := reply.GetForward()
+	why := reason.Reason(forward.GetReason())
+	switch forward.GetOutcome() {
+	case wire.Outcome_OUTCOME_ANSWERED:
+		if forward.GetAnswer() != nil {
+			return step{res: answered(forward.GetAnswer())}
+		}
+		why = reason.AnswerBroken
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		if notTaken[why] {
+			return step{}
+		}
+		return step{failure: &dispatcher.Failure{Reason: why, Cause: errors.New(forward.GetDetail())}}
+	case wire.Outcome_OUTCOME_UNKNOWN:
+	default:
+		why = reason.AnswerBroken
+	}
+	return step{failure: &dispatcher.Failure{Sent: true, Reason: why, Cause: errors.New(forward.GetDetail())}}
+}
+
+// Forwarded handles a request that a peer passes on. It uses only slots that are free now.
+func (g *Gateway) Forwarded(ctx context.Context, request *wire.ForwardRequest) *wire.Reply {
+	defer g.end()
+	reply := &wire.ForwardReply{Outcome: wire.Outcome_OUTCOME_NOT_RUN}
+	if why := g.begin(); why != reason.None {
+		reply.Reason = why.String()
+	} else {
+		g.serveForwarded(ctx, request, reply)
+		reply.FreeSlots = g.freeSlots(request.GetService())
+	}
+	return &wire.Reply{Body: &wire.Reply_Forward{Forward: reply}}
+}
+
+func (g *Gateway) serveForwarded(ctx context.Context, request *wire.ForwardRequest, reply *wire.ForwardReply) {
+	slot, why := g.cfg.Dispatcher.Acquire(request.GetService(), g.cfg.Clock.Now())
+	if slot == nil {
+		reply.Reason = why.String()
+		return
+	}
+	defer slot.Release()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.GetDeadlineMs())*time.Millisecond)
+	defer cancel()
+	answer, failure := slot.Send(ctx, &dispatcher.Request{
+		Method: request.GetMethod(), Path: request.GetPath(), Headers: request.GetHeaders(), Body: request.GetBody(),
+	})
+	switch {
+	case failure == nil:
+		reply.Outcome, reply.Answer = wire.Outcome_OUTCOME_ANSWERED, answer
+	case failure.Sent:
+		reply.Outcome, reply.Reason, reply.Detail = wire.Outcome_OUTCOME_UNKNOWN, failure.Reason.String(), failure.Error()
+	default:
+		reply.Reason, reply.Detail = failure.Reason.String(), failure.Error()
+	}
+}
+
+func (g *Gateway) freeSlots(service string) uint32 {
+	for _, load := range g.cfg.Dispatcher.Loads() {
+		if load.GetService() == service {
+			return load.GetFreeSlots()
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/entryd/internal/gateway/result.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+// result is how a request ended.
+type result struct {
+	outcome wire.Outcome
+	reason  reason.Reason
+	detail  string
+	answer  *wire.Answer
+}
+
+func notRun(why reason.Reason, detail string) *result {
+	return &result{outcome: wire.Outcome_OUTCOME_NOT_RUN, reason: why, detail: detail}
+}
+
+func unknown(why reason.Reason, detail string) *result {
+	return &result{outcome: wire.Outcome_OUTCOME_UNKNOWN, reason: why, detail: detail}
+}
+
+func answered(answer *wire.Answer) *result {
+	return &result{outcome: wire.Outcome_OUTCOME_ANSWERED, answer: answer}
+}
+
+func outcomeName(o wire.Outcome) string {
+	switch o {
+	case wire.Outcome_OUTCOME_ANSWERED:
+		return "answered"
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return "not_run"
+	default:
+		return "outcome_unknown"
+	}
+}
+
+// refusal is the body of a request that was not answered by a target.
+type refusal struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+}
+
+func write(w http.ResponseWriter, method string, res *result) {
+	header := w.Header()
+	if res.outcome == wire.Outcome_OUTCOME_ANSWERED {
+		copyAnswerHeaders(header, method, res.answer)
+		header.Set("Flamingo-Outcome", outcomeName(res.outcome))
+		w.WriteHeader(int(res.answer.GetStatus()))
+		// The caller has gone if this fails.
+		_, _ = w.Write(res.answer.GetBody())
+		return
+	}
+	header.Set("Flamingo-Outcome", outcomeName(res.outcome))
+	header.Set("Flamingo-Reason", res.reason.String())
+	header.Set("Content-Type", "application/json")
+	w.WriteHeader(statusOf(res))
+	_ = json.NewEncoder(w).Encode(refusal{Outcome: outcomeName(res.outcome), Reason: res.reason.String(), Detail: res.detail})
+}
+
+// copyAnswerHeaders passes a target's headers on. Those that state the outcome come from this process only.
+func copyAnswerHeaders(to http.Header, method string, answer *wire.Answer) {
+	from := http.Header{}
+	for _, h := range answer.GetHeaders() {
+		from.Add(h.GetName(), h.GetValue())
+	}
+	for _, h := range forwardable(from) {
+		if !strings.HasPrefix(h.GetName(), "Flamingo-") {
+			to.Add(h.GetName(), h.GetValue())
+		}
+	}
+	length := strconv.Itoa(len(answer.GetBody()))
+	if stated := from.Get("Content-Length"); method == http.MethodHead && stated != "" {
+		length = stated
+	}
+	to.Set("Content-Length", length)
+}
+
+// statuses maps reasons to HTTP status codes; other reasons are 503 when not run and 502 when unknown.
+var statuses = map[reason.Reason]int{
+	reason.UnknownService:  http.StatusNotFound,
+	reason.RequestTooLarge: http.StatusRequestEntityTooLarge,
+	reason.RequestInvalid:  http.StatusBadRequest,
+	reason.KeyMissing:      http.StatusBadRequest,
+	reason.KeyReused:       http.StatusUnprocessableEntity,
+	reason.StillRunning:    http.StatusConflict,
+	reason.OutcomeUnknown:  http.StatusConflict,
+	reason.AnswerNotKept:   http.StatusConflict,
+}
+
+func statusOf(res *result) int {
+	if status, ok := statuses[res.reason]; ok {
+		return status
+	}
+	if res.outcome == wire.Outcome_OUTCOME_UNKNOWN {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
--- a/entryd/internal/locator/locator.go
+++ b/entryd/internal/locator/locator.go
@@ -26,6 +26,8 @@
 const (
 	attemptTimeout = 700 * time.Millisecond
 	retryPause     = 50 * time.Millisecond
+	// maxRedirects is how many redirects are followed without a pause.
+	maxRedirects = 3
 )
 
 // Config holds what a Locator needs.
@@ -50,7 +52,7 @@
 // Call sends a request to the leader. A request that may have reached a leader without an answer is sent again, so it
 // must be one that a leader recognises as a repetition.
 func (l *Locator) Call(ctx context.Context, request *wire.Request) (*wire.Reply, error) {
-	for {
+	for redirects := 0; ; {
 		address := l.address()
 		reply, err := l.attempt(ctx, address, request)
 		refusal := reply.GetRefusal()
@@ -62,7 +64,9 @@
 			return reply, nil
 		case refusal.GetReason() == reason.NotLeader.String() && refusal.GetLeaderAddress() != "":
 			l.remember(refusal.GetLeaderAddress())
-			if ctx.Err() == nil {
+			redirects++
+			// Two nodes may name each other until an election has ended.
+			if ctx.Err() == nil && redirects%maxRedirects != 0 {
 				continue
 			}
 		case refusal.GetReason() == reason.NoLeader.String() || refusal.GetReason() == reason.NotLeader.String():
--- a/entryd/internal/poller/poller.go
+++ b/entryd/internal/poller/poller.go
@@ -209,7 +209,7 @@
 	reply, err := p.cfg.Locator.Call(ctx, &wire.Request{Body: &wire.Request_WorkerReports{WorkerReports: request}})
 	orders := reply.GetWorkerOrders().GetWorkers()
 	for i, turn := range waiting {
-		if err != nil || i >= len(orders) {
+		if err != nil || i >= len(orders) || orders[i].GetWorker() != reports[i].GetWorker() || orders[i].GetPoll() != reports[i].GetPoll() {
 			turn <- nil
 			continue
 		}
--- a/entryd/internal/roster/roster.go
+++ b/entryd/internal/roster/roster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -22,21 +23,44 @@
 	maxTargets   = 4_096
 )
 
+// Clock reads monotonic time.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Config holds what a Roster needs.
+type Config struct {
+	// Renew is how often targets are asked to announce themselves.
+	Renew time.Duration
+	Clock Clock
+	// Leaving is called at once when a target announces that it leaves.
+	Leaving func(target, boot string)
+}
+
 // Roster is safe for concurrent use.
 type Roster struct {
-	renewMs int
+	cfg Config
 
 	mu      sync.Mutex
-	known   map[string]*wire.TargetState
+	known   map[string]*heard
 	changed map[string]bool
 	renewed map[string]bool
+	// watched lists targets whose busy slots the leader needs.
+	watched map[string]bool
 }
 
-// New returns an empty Roster that asks targets to announce themselves every renewMs milliseconds.
-func New(renewMs int) *Roster {
-	return &Roster{
-		renewMs: renewMs, known: map[string]*wire.TargetState{}, changed: map[string]bool{}, renewed: map[string]bool{},
-	}
+// heard is the newest announcement of a target and when it arrived.
+type heard struct {
+	state *wire.TargetState
+	at    time.Duration
+}
+
+// maxAge is how old an announcement may be to be passed on; an older one proves nothing about the target any more.
+const maxAge = 4 * time.Second
+
+// New returns an empty Roster.
+func New(cfg Config) *Roster {
+	return &Roster{cfg: cfg, known: map[string]*heard{}, changed: map[string]bool{}, renewed: map[string]bool{}}
 }
 
 // announcement is the body of POST /platform/v1/targets/announce.
@@ -83,7 +107,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	// The target has gone if this fails; it announces itself again.
-	_ = json.NewEncoder(w).Encode(map[string]int{"renew_ms": r.renewMs})
+	_ = json.NewEncoder(w).Encode(map[string]int64{"renew_ms": r.cfg.Renew.Milliseconds()})
 }
 
 func (r *Roster) take(a *announcement) bool {
@@ -91,14 +115,18 @@
 		Target: a.Target, Service: a.Service, Address: a.Address, Slots: a.Slots, Connections: a.Connections,
 		Busy: a.Busy, Leaving: a.Leaving, Boot: a.Boot,
 	}
+	if a.Leaving {
+		r.cfg.Leaving(a.Target, a.Boot)
+	}
+	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.known[a.Target]
-	if old == nil && len(r.known) >= maxTargets {
+	if old == nil && len(r.known) >= maxTargets && !r.removeOld(now) {
 		return false
 	}
-	r.known[a.Target] = state
-	if old != nil && proto.Equal(old, state) {
+	r.known[a.Target] = &heard{state: state, at: now}
+	if old != nil && sameButBusy(old.state, state) {
 		r.renewed[a.Target] = true
 	} else {
 		r.changed[a.Target] = true
@@ -106,19 +134,45 @@
 	return true
 }
 
-// Collect adds the announcements since the last beat to a beat and returns a function that puts them back if the beat
-// is not answered.
+// sameButBusy ignores the number of busy slots, which changes with each announcement and matters only for targets that
+// the leader watches.
+func sameButBusy(old, state *wire.TargetState) bool {
+	compared := proto.Clone(old).(*wire.TargetState)
+	compared.Busy = state.GetBusy()
+	return proto.Equal(compared, state)
+}
+
+// removeOld forgets targets that have not announced themselves here for long and reports whether there were any.
+func (r *Roster) removeOld(now time.Duration) bool {
+	removed := false
+	for name, h := range r.known {
+		if now-h.at > maxAge {
+			delete(r.known, name)
+			removed = true
+		}
+	}
+	return removed
+}
+
+// Collect adds the announcements since the last beat, or all recent ones for a full beat, to a beat. It returns a
+// function that puts them back if the beat is not answered.
 func (r *Roster) Collect(beat *wire.BeatRequest) (restore func()) {
+	now := r.cfg.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed, renewed := r.changed, r.renewed
 	r.changed, r.renewed = map[string]bool{}, map[string]bool{}
-	for name := range changed {
-		beat.Targets = append(beat.Targets, r.known[name])
-		delete(renewed, name)
-	}
-	for name := range renewed {
-		beat.Renewed = append(beat.Renewed, name)
+	for name, h := range r.known {
+		age := now - h.at
+		switch {
+		case age > maxAge:
+		case beat.GetFull() || changed[name] || renewed[name] && r.watched[name]:
+			state := proto.Clone(h.state).(*wire.TargetState)
+			state.AgeMs = uint32(age.Milliseconds())
+			beat.Targets = append(beat.Targets, state)
+		case renewed[name]:
+			beat.Renewed = append(beat.Renewed, name)
+		}
 	}
 	return func() {
 		r.mu.Lock()
@@ -132,20 +186,18 @@
 	}
 }
 
-// Resend includes the full announcements of targets that the leader does not know in the next beat.
-func (r *Roster) Resend(names []string) {
+// Answered takes what the leader asks for: the full announcements of targets that it does not know, in the next beat,
+// and the targets whose busy slots it needs in each beat.
+func (r *Roster) Answered(unknown, watched []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, name := range names {
+	for _, name := range unknown {
 		if r.known[name] != nil {
 			r.changed[name] = true
 		}
 	}
-}
-
-// Leaving reports whether a target announced here that it leaves.
-func (r *Roster) Leaving(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.known[name].GetLeaving()
+	r.watched = make(map[string]bool, len(watched))
+	for _, name := range watched {
+		r.watched[name] = true
+	}
 }
--- a/entryd/internal/router/router.go
+++ b/entryd/internal/router/router.go
@@ -7,6 +7,8 @@
 	Used, Limit int
 	// Weight is the share of requests that the target's health allows, from 0 to 1.
 	Weight float64
+	// Probe is set when the target gets the next request whatever its weight.
+	Probe bool
 }
 
 // Peer is another entry process.
@@ -16,12 +18,17 @@
 	Free int
 }
 
-// Choose returns the index of the least used candidate with a free slot; -1 when there is none. A target of low weight
-// counts as fuller than it is.
+// Choose returns the index of the candidate that is due for a probe, else of the least used one with a free slot; -1 when
+// there is none. A target of low weight counts as fuller than it is.
 func Choose(candidates []Candidate) int {
 	best, bestLoad := -1, 0.0
 	for i, c := range candidates {
-		if c.Used >= c.Limit || c.Weight <= 0 {
+		switch {
+		case c.Used >= c.Limit:
+			continue
+		case c.Probe:
+			return i
+		case c.Weight <= 0:
 			continue
 		}
 		load := (float64(c.Used) + 1) / (float64(c.Limit) * c.Weight)
--- a/entryd/internal/steward/steward.go
+++ b/entryd/internal/steward/steward.go
@@ -9,23 +9,30 @@
 	"time"
 
 	"flamingodrift.example/entryd/internal/dispatcher"
-	"flamingodrift.example/entryd/internal/locator"
 	"flamingodrift.example/entryd/internal/roster"
 
-	"flamingodrift.example/core/clock"
-	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
 
+// Clock reads the monotonic time that leases are measured with.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Leader calls the leading controld process.
+type Leader interface {
+	Call(ctx context.Context, request *wire.Request) (*wire.Reply, error)
+}
+
 // Config holds what a Steward needs.
 type Config struct {
 	Name, Boot, Address, FailureDomain string
 	Beat                               time.Duration
 	// Currency is how long a configuration counts as current after it was confirmed.
 	Currency   time.Duration
-	Clock      clock.Clock
-	Locator    *locator.Locator
+	Clock      Clock
+	Leader     Leader
 	Dispatcher *dispatcher.Dispatcher
 	Roster     *roster.Roster
 	Logger     *slog.Logger
@@ -37,8 +44,10 @@
 	CurrentUntil time.Duration
 	Config       *wire.Config
 	Services     map[string]*wire.Service
-	Peers        []*wire.PeerLoad
-	Leaving      bool
+	// Peers lists the other entry processes; Round counts the replies that renewed it.
+	Peers   []*wire.PeerLoad
+	Round   uint64
+	Leaving bool
 }
 
 // Steward publishes the control state of an entry process.
@@ -52,7 +61,11 @@
 	config           *wire.Config
 	currentUntil     time.Duration
 	peers            []*wire.PeerLoad
+	round            uint64
 	ownershipVersion uint64
+	session          uint64
+	stampMs          uint64
+	full             bool
 	wasCurrent       bool
 }
 
@@ -93,7 +106,7 @@
 	ticker := time.NewTicker(s.cfg.Beat)
 	defer ticker.Stop()
 	for {
-		s.beat(ctx)
+		s.Beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -103,60 +116,12 @@
 	}
 }
 
-func (s *Steward) beat(ctx context.Context) {
-	request := &wire.BeatRequest{
-		Entry: s.cfg.Name, Boot: s.cfg.Boot, Address: s.cfg.Address, FailureDomain: s.cfg.FailureDomain,
-		ConfigRevision: s.config.GetRevision(), OwnershipVersion: s.ownershipVersion, Leaving: s.leaving.Load(),
-		Owned: s.cfg.Dispatcher.Owned(), Loads: s.cfg.Dispatcher.Loads(),
-	}
-	restore := s.cfg.Roster.Collect(request)
-	ctx, cancel := context.WithTimeout(ctx, max(s.cfg.Beat, time.Second))
-	defer cancel()
-	// The lease and the confirmation count from before the beat was sent.
-	sentAt := s.cfg.Clock.Now()
-	reply, err := s.cfg.Locator.Call(ctx, &wire.Request{Body: &wire.Request_Beat{Beat: request}})
-	if err != nil || reply.GetBeat() == nil {
-		restore()
-		s.publish()
-		return
-	}
-	s.take(reply.GetBeat(), sentAt)
-	s.publish()
-}
-
-func (s *Steward) take(reply *wire.BeatReply, sentAt time.Duration) {
-	// A lower revision can only come from a node that has not caught up; it is never taken over.
-	if config := reply.GetConfig(); config.GetRevision() > s.config.GetRevision() {
-		s.config = config
-		logger.ConfigReceived.Log(s.cfg.Logger, "revision", config.GetRevision())
-	}
-	if s.config.GetRevision() == reply.GetConfigRevision() {
-		s.currentUntil = sentAt + s.cfg.Currency
-	}
-	s.cfg.Dispatcher.Renew(sentAt + time.Duration(reply.GetLeaseMs())*time.Millisecond)
-	if reply.GetOwnershipChanged() {
-		s.cfg.Dispatcher.Update(reply.GetOwned())
-		s.ownershipVersion = reply.GetOwnershipVersion()
-	}
-	s.peers = reply.GetPeers()
-	s.cfg.Roster.Resend(reply.GetUnknownTargets())
-}
-
-func (s *Steward) publish() {
-	state := &State{
-		CurrentUntil: s.currentUntil, Config: s.config, Peers: s.peers, Leaving: s.leaving.Load(),
-		Services: make(map[string]*wire.Service, len(s.config.GetServices())),
-	}
-	for _, service := range s.config.GetServices() {
-		state.Services[service.GetName()] = service
-	}
-	s.state.Store(state)
-	current := s.cfg.Clock.Now() < s.currentUntil
-	switch {
-	case current && !s.wasCurrent:
-		logger.BecameCurrent.Log(s.cfg.Logger, "revision", s.config.GetRevision())
-	case !current && s.wasCurrent:
-		logger.BecameOutdated.Log(s.cfg.Logger, "revision", s.config.GetRevision())
-	}
-	s.wasCurrent = current
+// End sends the last beat, after Run has returned: no target is used any more, so the leader gives them to others
+// without waiting for the lease. Requests must have ended. When no leader answers, the lease runs out.
+func (s *Steward) End(ctx context.Context) error {
+	s.cfg.Dispatcher.Take(dispatcher.Grant{Changed: true})
+	request := s.request()
+	request.Leaving, request.Ended = true, true
+	_, err := s.cfg.Leader.Call(ctx, &wire.Request{Body: &wire.Request_Beat{Beat: request}})
+	return err
 }
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"runtime/debug"
-	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-kratos/kratos/v2"
@@ -78,22 +77,6 @@
 	return nil
 }
 
-// drain leaves the balancer and the leader's list of entry processes, then waits until no request is in progress. It
-// returns false when that takes longer than limit.
-func (d *daemon) drain(notice, limit time.Duration) bool {
-	d.leaving.Store(true)
-	d.steward.Leave()
-	time.Sleep(notice)
-	const pause = 20 * time.Millisecond
-	for waited := time.Duration(0); waited < limit; waited += pause {
-		if d.gateway.Active() == 0 && d.dispatcher.Busy() == 0 {
-			return true
-		}
-		time.Sleep(pause)
-	}
-	return false
-}
-
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
