--- a/entryd/internal/dispatcher/health.go
+++ b/entryd/internal/dispatcher/health.go
@@ -15,9 +15,9 @@
 	recoveryStep  = 0.1
 	// onlyProbes is the weight below which a target gets nothing but probes.
 	onlyProbes = 0.1
-	// probeWeight is the weight below which an idle target gets a probe in each interval. A target of such a weight looks
-	// fuller than any other with a free slot, so without probes it would never be chosen again.
-	probeWeight      = 0.5
+	// probeWeight is the weight below which an idle target gets a probe in each interval. A target of low weight looks
+	// fuller than the others while few slots are in use, so without probes it would not be chosen again.
+	probeWeight      = 0.95
 	minProbeInterval = 500 * time.Millisecond
 	maxProbeInterval = 30 * time.Second
 	// latencyShare is the weight of a new sample in a target's mean answer time.
@@ -51,8 +51,10 @@
 	return t.score*t.slowness < probeWeight && t.used == 0 && now >= t.probeAt
 }
 
+// chosen sets the time of the next probe: the lower the weight, the later.
 func (h *health) chosen(now time.Duration) {
-	h.probeAt = now + max(h.probeInterval, minProbeInterval)
+	interval := time.Duration(float64(minProbeInterval) / max(h.score*h.slowness, onlyProbes))
+	h.probeAt = now + max(h.probeInterval, interval)
 }
 
 func (h *health) succeeded() {
--- a/entryd/internal/gateway/gateway.go
+++ b/entryd/internal/gateway/gateway.go
@@ -117,6 +117,9 @@
 }
 
 func (g *Gateway) run(ctx context.Context, c *call) *result {
+	if ctx.Err() != nil {
+		return expired(false, reason.None, nil)
+	}
 	g.cfg.Retrier.Earn()
 	if c.idempotent {
 		return g.serve(ctx, c)
--- a/entryd/internal/gateway/serve.go
+++ b/entryd/internal/gateway/serve.go
@@ -25,11 +25,11 @@
 // serve sends a request to a target of this process or of a peer, until it is answered, may not be sent again, or its
 // deadline has passed.
 func (g *Gateway) serve(ctx context.Context, c *call) *result {
-	sent, waited := false, reason.None
+	sent, waited, last := false, reason.None, (*dispatcher.Failure)(nil)
 	ticket := &dispatcher.Ticket{}
 	for attempt := 1; ; {
 		if ctx.Err() != nil {
-			return expired(sent, waited)
+			return expired(sent, waited, last)
 		}
 		s := g.attempt(ctx, c, ticket)
 		switch {
@@ -42,7 +42,8 @@
 		case final(s.failure.Reason):
 			return ended(sent || s.failure.Sent, s.failure, reason.None)
 		}
-		sent = sent || s.failure.Sent
+		sent, waited = sent || s.failure.Sent, reason.None
+		last = s.failure
 		may, why := g.cfg.Retrier.Spend(retrier.Attempt{Number: attempt, Sent: s.failure.Sent, Idempotent: c.idempotent})
 		if !may {
 			return ended(sent, s.failure, why)
@@ -73,11 +74,14 @@
 	return notRun(failure.Reason, detail)
 }
 
-// expired ends a request whose deadline passed. One that only waited is told what it waited for.
-func expired(sent bool, waited reason.Reason) *result {
+// expired ends a request whose deadline passed. One that was not sent is told why its last attempt failed, or what it
+// waited for.
+func expired(sent bool, waited reason.Reason, last *dispatcher.Failure) *result {
 	switch {
 	case sent:
 		return unknown(reason.DeadlineExceeded, "the deadline passed after the request was sent")
+	case last != nil:
+		return notRun(last.Reason, "the deadline passed before another attempt; the last one failed: "+last.Error())
 	case waited != reason.None:
 		return notRun(waited, "the deadline passed while the request waited")
 	default:
--- a/entryd/internal/router/router.go
+++ b/entryd/internal/router/router.go
@@ -19,10 +19,18 @@
 }
 
 // Choose returns the index of the candidate that is due for a probe, else of the least used one with a free slot; -1 when
-// there is none. A target of low weight counts as fuller than it is.
+// there is none. A target of low weight counts as fuller than it is. When no target has a weight, all count alike: a
+// request that fails at once tells its caller more than one that waits for a probe.
 func Choose(candidates []Candidate) int {
+	allZero := true
+	for _, c := range candidates {
+		allZero = allZero && c.Weight <= 0
+	}
 	best, bestLoad := -1, 0.0
 	for i, c := range candidates {
+		if allZero {
+			c.Weight = 1
+		}
 		switch {
 		case c.Used >= c.Limit:
 			continue
