--- a/entryd/internal/dispatcher/dispatcher.go
+++ b/entryd/internal/dispatcher/dispatcher.go
@@ -59,16 +59,14 @@
 	}
 }
 
-// Loads returns the free slots and the queue of each service. Free slots that waiting requests will take do not count.
+// Loads returns the free slots and the queue of each service. Slots of targets that get only probes do not count, because
+// a peer's request would not get them.
 func (d *Dispatcher) Loads() []*wire.ServiceLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var loads []*wire.ServiceLoad
 	for service, targets := range d.services {
-		load := &wire.ServiceLoad{Service: service}
-		for _, t := range targets {
-			load.FreeSlots += uint32(max(t.limit()-t.used, 0))
-		}
+		load := &wire.ServiceLoad{Service: service, FreeSlots: freeSlots(targets)}
 		if q := d.queues[service]; q != nil {
 			load.Queued = uint32(len(q.waiting))
 		}
@@ -78,6 +76,23 @@
 	return loads
 }
 
+// FreeSlots returns the free slots of one service, as Loads does.
+func (d *Dispatcher) FreeSlots(service string) uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return freeSlots(d.services[service])
+}
+
+func freeSlots(targets []*target) uint32 {
+	free := 0
+	for _, t := range targets {
+		if t.weight() > 0 {
+			free += max(t.limit()-t.used, 0)
+		}
+	}
+	return uint32(free)
+}
+
 // Busy returns the number of requests in progress.
 func (d *Dispatcher) Busy() int {
 	d.mu.Lock()
--- a/entryd/internal/gateway/forward.go
+++ b/entryd/internal/gateway/forward.go
@@ -16,10 +16,14 @@
 // none did.
 func (g *Gateway) forward(ctx context.Context, c *call) step {
 	state, service := g.cfg.Control.State(), c.service.GetName()
+	g.peers.Refresh(state.Round, state.Peers)
 	for range state.Peers {
 		left := remaining(ctx)
-		address, ok := g.peers.take(state, service)
-		if !ok || left <= 0 {
+		if left <= 0 {
+			return step{}
+		}
+		address, ok := g.peers.Take(service, g.cfg.Clock.Now())
+		if !ok {
 			return step{}
 		}
 		reply, err := g.cfg.Peers.Call(ctx, address, &wire.Request{Body: &wire.Request_Forward{Forward: &wire.ForwardRequest{
@@ -29,15 +33,15 @@
 		var callError *messenger.Error
 		switch {
 		case errors.As(err, &callError) && !callError.Sent:
-			g.peers.learn(address, service, 0)
+			g.peers.Learn(address, service, 0)
 			continue
 		case err != nil && ctx.Err() != nil:
 			return step{failure: &dispatcher.Failure{Sent: true, Reason: reason.DeadlineExceeded, Cause: err}}
 		case err != nil:
-			g.peers.learn(address, service, 0)
+			g.peers.Learn(address, service, 0)
 			return step{failure: &dispatcher.Failure{Sent: true, Reason: reason.AnswerBroken, Cause: err}}
 		}
-		g.peers.learn(address, service, int(reply.GetForward().GetFreeSlots()))
+		g.peers.Learn(address, service, int(reply.GetForward().GetFreeSlots()))
 		if s := fromPeer(reply); s.res != nil || s.failure != nil {
 			return s
 		}
@@ -93,7 +97,7 @@
 		reply.Reason = why.String()
 	} else {
 		g.serveForwarded(ctx, request, reply)
-		reply.FreeSlots = g.freeSlots(request.GetService())
+		reply.FreeSlots = g.cfg.Dispatcher.FreeSlots(request.GetService())
 	}
 	return &wire.Reply{Body: &wire.Reply_Forward{Forward: reply}}
 }
@@ -119,12 +123,3 @@
 		reply.Reason, reply.Detail = failure.Reason.String(), failure.Error()
 	}
 }
-
-func (g *Gateway) freeSlots(service string) uint32 {
-	for _, load := range g.cfg.Dispatcher.Loads() {
-		if load.GetService() == service {
-			return load.GetFreeSlots()
-		}
-	}
-	return 0
-}
--- a/entryd/internal/gateway/gateway.go
+++ b/entryd/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"flamingodrift.example/entryd/internal/claimer"
 	"flamingodrift.example/entryd/internal/dispatcher"
+	"flamingodrift.example/entryd/internal/peerbook"
 	"flamingodrift.example/entryd/internal/retrier"
 	"flamingodrift.example/entryd/internal/steward"
 
@@ -52,13 +53,13 @@
 // Gateway is safe for concurrent use.
 type Gateway struct {
 	cfg    Config
-	peers  *peerBook
+	peers  *peerbook.Book
 	active atomic.Int64
 	closed atomic.Bool
 }
 
 // New returns a Gateway.
-func New(cfg Config) *Gateway { return &Gateway{cfg: cfg, peers: newPeerBook()} }
+func New(cfg Config) *Gateway { return &Gateway{cfg: cfg, peers: peerbook.New()} }
 
 // Active returns the number of requests in progress, of callers and of peers.
 func (g *Gateway) Active() int64 { return g.active.Load() }
