--- a/controld/internal/explainer/hosts.go
+++ b/controld/internal/explainer/hosts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 
 	"flamingodrift.example/controld/internal/worker"
 )
@@ -122,6 +123,10 @@
 			h.State = "unowned"
 			h.Sentence = fmt.Sprintf("It serves %s, but no entry process owns it yet: earlier leases must run out first.", t.Service)
 		}
+		if t.Reserved > 0 {
+			h.Sentence += fmt.Sprintf(" %s unused until these former owners report again: %s.",
+				count(t.Reserved, "slot"), strings.Join(t.FormerOwners, ", "))
+		}
 		hosts = append(hosts, h)
 	}
 	return hosts
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -36,6 +36,7 @@
 	Sheet            string  `json:"sheet"`
 	ConfirmStops     uint32  `json:"confirm_stops"`
 	Worker           string  `json:"worker"`
+	Entry            string  `json:"entry"`
 	Config           string  `json:"config_text"`
 	// parsed is the sheet of a plan.
 	parsed *sheet.Sheet
@@ -60,6 +61,8 @@
 			return problem
 		}
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
+	case action == "forget-entry":
+		return s.forgetEntry(ctx, body.Entry)
 	case known:
 		return s.query(ctx, func(e *explainer.Explainer) (int, any) { return answer(e, body) })
 	case slices.Contains(changeActions, action):
