--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -211,7 +211,7 @@
 		if err != nil {
 			return fmt.Errorf("restore cell from the leader's snapshot: %w", err)
 		}
-		if err := c.cfg.Store.SaveSnapshot(ready.Install, c.repl.HardState(), nil); err != nil {
+		if err := c.cfg.Store.SaveSnapshot(ready.Install, c.repl.HardState(), ready.Tail); err != nil {
 			return err
 		}
 		c.cell, c.applied = restored, ready.Install.GetMeta().GetIndex()
--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"flamingodrift.example/core/wire"
 )
 
@@ -24,6 +22,8 @@
 		if p := r.acceptReply(now, msg, body.AppendReply.GetSentAtNs()); p != nil {
 			r.stepAppendReply(now, msg, p, body.AppendReply)
 		}
+	case *wire.PeerMessage_TakeOver:
+		r.stepTakeOver(now, msg)
 	case *wire.PeerMessage_SnapshotChunk:
 		if r.acceptLeader(now, msg) {
 			r.stepSnapshot(msg, body.SnapshotChunk)
@@ -143,7 +143,7 @@
 }
 
 func (r *Replicator) stepAppend(msg *wire.PeerMessage, request *wire.AppendRequest) {
-	reply := &wire.AppendReply{SentAtNs: request.GetSentAtNs()}
+	reply := &wire.AppendReply{SentAtNs: request.GetSentAtNs(), DiskFull: r.diskFull}
 	defer func() {
 		r.send(&wire.PeerMessage{
 			To:   msg.GetFrom(),
@@ -198,6 +198,7 @@
 }
 
 func (r *Replicator) stepAppendReply(now time.Duration, msg *wire.PeerMessage, p *progress, reply *wire.AppendReply) {
+	p.diskFull = reply.GetDiskFull()
 	if !reply.GetAccepted() {
 		p.inFlight = false
 		p.next = max(p.match+1, min(reply.GetHintIndex()+1, r.log.lastIndex()+1))
@@ -215,6 +216,7 @@
 	if r.role == leader && !p.inFlight && p.next <= r.log.lastIndex() {
 		r.sendNext(now, msg.GetFrom(), p)
 	}
+	r.finishHandover(now)
 }
 
 // advanceCommit commits the newest entry of this term that a majority of voters has synced.
@@ -239,6 +241,7 @@
 	}
 	r.commit = index
 	r.stepDownIfRemoved(now)
+	r.finishHandover(now)
 	if r.role == leader {
 		// Followers learn the commit at once, so that their copies lag by one message and not by one heartbeat.
 		r.heartbeat(now)
@@ -251,77 +254,3 @@
 		r.becomeFollower(now, r.term, "")
 	}
 }
-
-func (r *Replicator) sendSnapshot(now time.Duration, id string, p *progress) {
-	meta := r.snapshot
-	if p.snapshotIndex != meta.GetIndex() {
-		p.snapshotIndex, p.snapshotOffset = meta.GetIndex(), 0
-	}
-	data, last, err := r.cfg.Snapshots.ReadChunk(meta, p.snapshotOffset, snapshotChunk)
-	if err != nil {
-		// The next heartbeat tries again; meanwhile an empty append keeps the lease alive.
-		r.sendAppend(now, id, p, nil)
-		return
-	}
-	p.inFlight, p.sentAt = true, now
-	r.send(&wire.PeerMessage{To: id, Body: &wire.PeerMessage_SnapshotChunk{SnapshotChunk: &wire.SnapshotChunk{
-		Meta: meta, Offset: p.snapshotOffset, Data: data, Last: last, SentAtNs: int64(now),
-	}}})
-}
-
-func (r *Replicator) stepSnapshot(msg *wire.PeerMessage, chunk *wire.SnapshotChunk) {
-	ack := &wire.SnapshotAck{Index: chunk.GetMeta().GetIndex(), SentAtNs: chunk.GetSentAtNs()}
-	defer func() {
-		r.send(&wire.PeerMessage{To: msg.GetFrom(), Body: &wire.PeerMessage_SnapshotAck{SnapshotAck: ack}})
-	}()
-	if chunk.GetMeta().GetIndex() <= r.commit {
-		ack.Installed = true
-		r.incoming, r.incomingMeta = nil, nil
-		return
-	}
-	if chunk.GetOffset() == 0 {
-		r.incoming, r.incomingMeta = nil, chunk.GetMeta()
-	}
-	sameSnapshot := proto.Equal(r.incomingMeta, chunk.GetMeta())
-	if !sameSnapshot || chunk.GetOffset() != uint64(len(r.incoming)) {
-		if sameSnapshot {
-			ack.NextOffset = uint64(len(r.incoming))
-		}
-		return
-	}
-	r.incoming = append(r.incoming, chunk.GetData()...)
-	ack.NextOffset = uint64(len(r.incoming))
-	if !chunk.GetLast() {
-		return
-	}
-	r.install(&wire.Snapshot{Meta: chunk.GetMeta(), State: r.incoming})
-	ack.Installed = true
-}
-
-func (r *Replicator) install(snapshot *wire.Snapshot) {
-	meta := snapshot.GetMeta()
-	r.log.reset(meta.GetIndex(), meta.GetTerm())
-	r.snapshot = meta
-	r.memberships = []membershipAt{{index: meta.GetIndex(), membership: meta.GetMembership()}}
-	r.commit, r.applied, r.persisted = meta.GetIndex(), meta.GetIndex(), meta.GetIndex()
-	r.incoming, r.incomingMeta = nil, nil
-	// Records of entries before the snapshot are of no use any more.
-	r.pendingReady.Records = nil
-	r.pendingReady.Install = snapshot
-	r.hardStateDirt = true
-}
-
-func (r *Replicator) stepSnapshotAck(now time.Duration, msg *wire.PeerMessage, p *progress, ack *wire.SnapshotAck) {
-	if p.snapshotIndex != ack.GetIndex() {
-		return
-	}
-	p.inFlight = false
-	if ack.GetInstalled() {
-		p.match = max(p.match, ack.GetIndex())
-		p.next = p.match + 1
-		p.snapshotIndex, p.snapshotOffset = 0, 0
-	} else {
-		p.snapshotOffset = ack.GetNextOffset()
-	}
-	r.sendNext(now, msg.GetFrom(), p)
-}
--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -30,6 +30,9 @@
 		r.becomeFollower(now, r.term, "")
 		return
 	}
+	if r.successor != "" && now >= r.handoverUntil {
+		r.successor = ""
+	}
 	if now-r.lastHeartbeat >= r.cfg.Heartbeat {
 		r.heartbeat(now)
 	}
@@ -41,27 +44,27 @@
 	r.role = preCandidate
 	r.leader = ""
 	r.votes = map[string]bool{r.cfg.ID: true}
-	r.requestVotes(true, r.term+1)
+	r.requestVotes(&wire.VoteRequest{PreVote: true}, r.term+1)
 	r.countVotes(now)
 }
 
-func (r *Replicator) startElection(now time.Duration) {
+func (r *Replicator) startElection(now time.Duration, handover bool) {
 	r.role = candidate
 	r.term++
 	r.vote = r.cfg.ID
 	r.hardStateDirt = true
 	r.votes = map[string]bool{r.cfg.ID: true}
 	r.resetElection(now)
-	r.requestVotes(false, r.term)
+	r.requestVotes(&wire.VoteRequest{Handover: handover}, r.term)
 	r.countVotes(now)
 }
 
-func (r *Replicator) requestVotes(pre bool, term uint64) {
+func (r *Replicator) requestVotes(request *wire.VoteRequest, term uint64) {
+	request.LastIndex, request.LastTerm = r.log.lastIndex(), r.log.lastTerm()
 	for _, m := range r.Membership().GetMembers() {
 		if !m.GetVoter() || m.GetId() == r.cfg.ID {
 			continue
 		}
-		request := &wire.VoteRequest{PreVote: pre, LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm()}
 		r.send(&wire.PeerMessage{
 			To: m.GetId(), Term: term,
 			Body: &wire.PeerMessage_VoteRequest{VoteRequest: request},
@@ -84,7 +87,7 @@
 		return
 	}
 	if r.role == preCandidate {
-		r.startElection(now)
+		r.startElection(now, false)
 	} else {
 		r.becomeLeader(now)
 	}
@@ -93,7 +96,7 @@
 func (r *Replicator) becomeLeader(now time.Duration) {
 	r.role = leader
 	r.leader = r.cfg.ID
-	r.leaderSince = now
+	r.leaderSince, r.successor = now, ""
 	r.peers = map[string]*progress{}
 	r.appendNew(wire.EntryKind_ENTRY_KIND_EMPTY, nil)
 	r.termStart = r.log.lastIndex()
@@ -107,7 +110,7 @@
 	}
 	r.role = follower
 	r.leader = leaderID
-	r.votes = nil
+	r.votes, r.successor = nil, ""
 	r.resetElection(now)
 }
 
@@ -120,7 +123,7 @@
 }
 
 func (r *Replicator) stepVoteRequest(now time.Duration, msg *wire.PeerMessage, request *wire.VoteRequest) {
-	if r.leaderPromised(now) {
+	if r.leaderPromised(now) && !r.promiseEnded(msg, request) {
 		// Without an answer a candidate with a higher term cannot raise this node's term either.
 		return
 	}
@@ -131,7 +134,12 @@
 	current := request.GetLastTerm() > r.log.lastTerm() ||
 		(request.GetLastTerm() == r.log.lastTerm() && request.GetLastIndex() >= r.log.lastIndex())
 	if request.GetPreVote() {
-		r.answerVote(msg, request, current && msg.GetTerm() > r.term, msg.GetTerm())
+		// Only a grant carries the requested term: a refusal with that term would raise the term of the node that asked.
+		if current && msg.GetTerm() > r.term {
+			r.answerVote(msg, request, true, msg.GetTerm())
+		} else {
+			r.answerVote(msg, request, false, r.term)
+		}
 		return
 	}
 	if msg.GetTerm() > r.term {
--- /dev/null
+++ b/core/replicator/lease_test.go
@@ -0,0 +1,138 @@
+package replicator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/core/wire"
+)
+
+// A node that does not hear the leader, while the others do, must not be elected beside it: the others have promised the
+// leader its lease. The network's oracle fails when two nodes hold a lease at one instant.
+func TestNodeThatDoesNotHearLeaderIsNotElected(t *testing.T) {
+	for seed := range uint64(10) {
+		n := newNetwork(t, 30+seed, 5)
+		leader := n.awaitHolder()
+		term := leader.repl.Term()
+		deaf := otherThan(n, leader)
+		n.cut[link{leader.id, deaf.id}], n.cut[link{deaf.id, leader.id}] = true, true
+		n.run(10 * time.Second)
+		require.Equal(t, leader, n.holder())
+		require.Equal(t, term, leader.repl.Term())
+	}
+}
+
+// The same with the other voters restarting, which makes them forget whom they promised a lease.
+func TestRestartsDoNotShortenLease(t *testing.T) {
+	for seed := range uint64(20) {
+		n := newNetwork(t, 50+seed, 3)
+		leader := n.awaitHolder()
+		deaf := otherThan(n, leader)
+		voter := otherThan(n, leader, deaf)
+		n.cut[link{leader.id, deaf.id}], n.cut[link{deaf.id, leader.id}] = true, true
+		for range 30 {
+			n.run(simHeartbeat + simTick)
+			n.stop(voter)
+			n.start(voter)
+		}
+		n.run(10 * time.Second)
+		require.NotNil(t, n.holder())
+	}
+}
+
+// The lease counts from the moment a message was sent, not from its answer, and is shorter than the voters' promise by
+// the bound of the clock drift.
+func TestLeaseCountsFromSendingLessDrift(t *testing.T) {
+	r, now := newLeader(t)
+	sent := now
+	r.Step(sent+900*time.Millisecond, appendReply(sent))
+	lease := simElectionMin * 99 / 100
+	require.True(t, r.Lease(sent+lease-1))
+	require.False(t, r.Lease(sent+lease))
+	r.Step(sent+950*time.Millisecond, appendReply(sent-time.Millisecond))
+	require.True(t, r.Lease(sent+lease-1), "an older answer does not shorten the lease")
+}
+
+// newLeader returns the leader of three voters at term 1 that has sent, but not committed, its first entry.
+func newLeader(t *testing.T) (*Replicator, time.Duration) {
+	t.Helper()
+	n := newNetwork(t, 11, 0)
+	cfg := n.config(n.create())
+	cfg.ID = "a"
+	members := &wire.Membership{Members: []*wire.Member{{Id: "a", Voter: true}, {Id: "b", Voter: true}, {Id: "c", Voter: true}}}
+	now := 2 * simElectionMax
+	r := New(cfg, Restored{Bootstrap: members}, 0)
+	r.Tick(now)
+	for _, pre := range []bool{true, false} {
+		r.Step(now, &wire.PeerMessage{From: "b", To: "a", Term: 1, Body: &wire.PeerMessage_VoteReply{
+			VoteReply: &wire.VoteReply{PreVote: pre, Granted: true},
+		}})
+	}
+	require.True(t, r.IsLeader())
+	r.Ready()
+	r.Persisted(now)
+	return r, now
+}
+
+func appendReply(sent time.Duration) *wire.PeerMessage {
+	return &wire.PeerMessage{From: "b", To: "a", Term: 1, Body: &wire.PeerMessage_AppendReply{
+		AppendReply: &wire.AppendReply{Accepted: true, MatchIndex: 1, SentAtNs: int64(sent)},
+	}}
+}
+
+// A leader must not count its own entries before they are synced.
+func TestLeaderCommitsOnlyWhatItSynced(t *testing.T) {
+	r, now := newLeader(t)
+	r.Step(now, appendReply(now))
+	require.Len(t, r.Ready().Committed, 1)
+	_, _, err := r.Propose(now, []byte("x"))
+	require.NoError(t, err)
+	reply := appendReply(now)
+	reply.GetAppendReply().MatchIndex = 2
+	require.NotEmpty(t, r.Ready().Records)
+	r.Step(now, reply)
+	require.Empty(t, r.Ready().Committed)
+	r.Persisted(now)
+	require.Len(t, r.Ready().Committed, 1)
+}
+
+// A vote that is given after the term was already raised must reach the disk too, else the node votes twice in the term.
+func TestVoteIsPersistedBeforeItIsSent(t *testing.T) {
+	r := followerWithEntries(t, 1, 1)
+	now := 2 * simElectionMax
+	request := &wire.PeerMessage{From: "b", To: "a", Term: 7, Body: &wire.PeerMessage_VoteRequest{
+		VoteRequest: &wire.VoteRequest{},
+	}}
+	r.Step(now, request)
+	require.Len(t, r.Ready().Records, 1, "the new term")
+	better := proto.Clone(request).(*wire.PeerMessage)
+	better.From, better.GetVoteRequest().LastIndex, better.GetVoteRequest().LastTerm = "c", 1, 1
+	r.Step(now, better)
+	ready := r.Ready()
+	require.True(t, ready.Messages[0].GetVoteReply().GetGranted())
+	require.Equal(t, "c", ready.Records[0].GetHardState().GetVote())
+}
+
+// Entries of an earlier term must not be committed by counting copies: a later leader could still replace them. They
+// are committed by the first entry of the leader's own term.
+func TestEntriesOfEarlierTermsAreNotCountedAlone(t *testing.T) {
+	r := followerWithEntries(t, 3, 1)
+	now := 2 * simElectionMax
+	r.Tick(now)
+	for _, pre := range []bool{true, false} {
+		r.Step(now, &wire.PeerMessage{From: "b", To: "a", Term: 2, Body: &wire.PeerMessage_VoteReply{
+			VoteReply: &wire.VoteReply{PreVote: pre, Granted: true},
+		}})
+	}
+	r.Ready()
+	r.Persisted(now)
+	for _, step := range []struct{ match, commit uint64 }{{3, 0}, {4, 4}} {
+		reply := appendReply(now)
+		reply.Term, reply.GetAppendReply().MatchIndex = 2, step.match
+		r.Step(now, reply)
+		require.Equal(t, step.commit, r.Commit())
+	}
+}
--- /dev/null
+++ b/core/replicator/membership.go
@@ -0,0 +1,107 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/core/wire"
+)
+
+// maxRemovedIDs bounds the removed ids that a membership carries: 36 bytes each, in every snapshot chunk. An id that was
+// pushed out could only return with its own data folder, which holds the votes it gave, so its return is safe.
+const maxRemovedIDs = 64
+
+// ProposeMembership appends a membership that differs from the present one in one voter at most. It fills in the removed
+// ids.
+func (r *Replicator) ProposeMembership(now time.Duration, next *wire.Membership) (index, term uint64, err error) {
+	if !r.acceptsProposals(now) {
+		return 0, 0, ErrNotLeader
+	}
+	newest := r.memberships[len(r.memberships)-1]
+	if newest.index > r.commit {
+		return 0, 0, ErrMembershipPending
+	}
+	next = proto.Clone(next).(*wire.Membership)
+	next.RemovedIds = removedIDs(newest.membership, next)
+	if err := checkMembership(newest.membership, next); err != nil {
+		return 0, 0, err
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		return 0, 0, err
+	}
+	r.appendNew(wire.EntryKind_ENTRY_KIND_MEMBERSHIP, data)
+	for id := range r.peers {
+		if !contains(next, id) {
+			delete(r.peers, id)
+		}
+	}
+	r.replicate(now)
+	return r.log.lastIndex(), r.term, nil
+}
+
+// Removed reports whether an id was a member and is so no more. The membership must be committed.
+func (r *Replicator) Removed(id string) bool {
+	newest := r.memberships[len(r.memberships)-1]
+	return newest.index <= r.commit && slices.Contains(newest.membership.GetRemovedIds(), id)
+}
+
+func removedIDs(present, next *wire.Membership) []string {
+	removed := slices.Clone(present.GetRemovedIds())
+	for _, m := range present.GetMembers() {
+		if !contains(next, m.GetId()) {
+			removed = append(removed, m.GetId())
+		}
+	}
+	return removed[max(0, len(removed)-maxRemovedIDs):]
+}
+
+func checkMembership(present, next *wire.Membership) error {
+	seen, voters := map[string]bool{}, 0
+	for _, m := range next.GetMembers() {
+		if seen[m.GetId()] {
+			return ErrDuplicateMember
+		}
+		seen[m.GetId()] = true
+		if slices.Contains(present.GetRemovedIds(), m.GetId()) {
+			return ErrRemovedMember
+		}
+		if m.GetVoter() {
+			voters++
+		}
+	}
+	if voters == 0 {
+		return ErrNoVoters
+	}
+	if voterDistance(present, next) > 1 {
+		return ErrMembershipStep
+	}
+	return nil
+}
+
+func contains(membership *wire.Membership, id string) bool {
+	return slices.ContainsFunc(membership.GetMembers(), func(m *wire.Member) bool { return m.GetId() == id })
+}
+
+// voterDistance counts the ids that vote in one of two memberships only.
+func voterDistance(a, b *wire.Membership) int {
+	voters := map[string]bool{}
+	for _, m := range a.GetMembers() {
+		if m.GetVoter() {
+			voters[m.GetId()] = true
+		}
+	}
+	distance := 0
+	for _, m := range b.GetMembers() {
+		switch {
+		case !m.GetVoter():
+		case voters[m.GetId()]:
+			delete(voters, m.GetId())
+		default:
+			distance++
+		}
+	}
+	return distance + len(voters)
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,6 +29,14 @@
 	ErrMembershipPending = errors.New("an earlier membership change is not committed")
 	// ErrMembershipStep is returned for a change of more than one voter at a time.
 	ErrMembershipStep = errors.New("a membership change may add or remove one voter at a time")
+	// ErrRemovedMember is returned for a change that brings back an id that was removed.
+	ErrRemovedMember = errors.New("a removed member id cannot be added again")
+	// ErrDuplicateMember is returned for a change that lists an id twice.
+	ErrDuplicateMember = errors.New("a member id is listed twice")
+	// ErrNoSuccessor is returned when no voter could take over leadership.
+	ErrNoSuccessor = errors.New("no voter is able to take over leadership")
+	// ErrNoVoters is returned for a change that leaves no voter.
+	ErrNoVoters = errors.New("a membership needs a voter")
 )
 
 // SnapshotReader reads the latest stored snapshot, for followers whose next entry was compacted away.
@@ -63,9 +72,11 @@
 	Bootstrap *wire.Membership
 }
 
-// Ready is the work that a Replicator asks its host to do, in this order: store Install, sync Records, call Persisted,
-// send Messages, apply Committed.
+// Ready is the work that a Replicator asks its host to do, in this order: store Install with Tail, sync Records, call
+// Persisted, send Messages, apply Committed.
 type Ready struct {
+	// Tail are the entries after Install that stay in the log.
+	Tail      []*wire.Entry
 	Install   *wire.Snapshot
 	Records   []*wire.JournalRecord
 	Messages  []*wire.PeerMessage
@@ -96,6 +107,7 @@
 	acked          bool
 	snapshotOffset uint64
 	snapshotIndex  uint64
+	diskFull       bool
 }
 
 type membershipAt struct {
@@ -129,9 +141,14 @@
 	lastHeartbeat    time.Duration
 	leaderSince      time.Duration
 	termStart        uint64
+	// successor is the voter to which this leader hands over; empty when it does not.
+	successor     string
+	handoverUntil time.Duration
+	diskFull      bool
 
 	incoming      []byte
 	incomingMeta  *wire.SnapshotMeta
+	incomingTerm  uint64
 	pendingReady  Ready
 	hardStateDirt bool
 }
@@ -262,9 +279,14 @@
 	return times[len(times)-quorum], true
 }
 
+// acceptsProposals is false while leadership is handed over, so that the successor can catch up.
+func (r *Replicator) acceptsProposals(now time.Duration) bool {
+	return r.successor == "" && r.Lease(now)
+}
+
 // Propose appends commands to the log of a leader that holds its lease and returns the index and the term of the first.
 func (r *Replicator) Propose(now time.Duration, commands ...[]byte) (index, term uint64, err error) {
-	if !r.Lease(now) {
+	if !r.acceptsProposals(now) {
 		return 0, 0, ErrNotLeader
 	}
 	first := r.log.lastIndex() + 1
@@ -275,48 +297,6 @@
 	return first, r.term, nil
 }
 
-// ProposeMembership appends a membership that differs from the present one in one voter at most.
-func (r *Replicator) ProposeMembership(now time.Duration, next *wire.Membership) (index, term uint64, err error) {
-	if !r.Lease(now) {
-		return 0, 0, ErrNotLeader
-	}
-	newest := r.memberships[len(r.memberships)-1]
-	if newest.index > r.commit {
-		return 0, 0, ErrMembershipPending
-	}
-	if voterDistance(newest.membership, next) > 1 {
-		return 0, 0, ErrMembershipStep
-	}
-	data, err := proto.Marshal(next)
-	if err != nil {
-		return 0, 0, err
-	}
-	r.appendNew(wire.EntryKind_ENTRY_KIND_MEMBERSHIP, data)
-	r.replicate(now)
-	return r.log.lastIndex(), r.term, nil
-}
-
-func voterDistance(a, b *wire.Membership) int {
-	voters := map[string]int{}
-	for _, m := range a.GetMembers() {
-		if m.GetVoter() {
-			voters[m.GetId()]++
-		}
-	}
-	for _, m := range b.GetMembers() {
-		if m.GetVoter() {
-			voters[m.GetId()]--
-		}
-	}
-	distance := 0
-	for _, d := range voters {
-		if d != 0 {
-			distance++
-		}
-	}
-	return distance
-}
-
 // Ready returns and clears the pending work.
 func (r *Replicator) Ready() Ready {
 	ready := r.pendingReady
@@ -380,6 +360,10 @@
 // appendToLog adds an entry, replacing a conflicting suffix, and keeps the membership history in step.
 func (r *Replicator) appendToLog(entry *wire.Entry) {
 	if entry.GetIndex() <= r.log.lastIndex() {
+		if entry.GetIndex() <= r.commit {
+			// No leader sends a different committed entry; going on would change what was already applied.
+			panic(fmt.Sprintf("entry %d conflicts with the committed entry", entry.GetIndex()))
+		}
 		r.log.truncate(entry.GetIndex())
 		r.persisted = min(r.persisted, entry.GetIndex()-1)
 		for len(r.memberships) > 1 && r.memberships[len(r.memberships)-1].index >= entry.GetIndex() {
