--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -211,7 +211,10 @@
 		if err != nil {
 			return fmt.Errorf("restore cell from the leader's snapshot: %w", err)
 		}
-		if err := c.cfg.Store.SaveSnapshot(ready.Install, c.repl.HardState(), ready.Tail); err != nil {
+		if err := c.cfg.Store.SaveSnapshot(ready.Install); err != nil {
+			return err
+		}
+		if err := c.cfg.Store.ReplaceJournal(ready.Install.GetMeta(), c.repl.HardState(), ready.Tail); err != nil {
 			return err
 		}
 		c.cell, c.applied = restored, ready.Install.GetMeta().GetIndex()
@@ -229,10 +232,11 @@
 	logger.DiskFull.Log(c.cfg.Logger)
 	c.diskFull = true
 	c.blockedTill = now + diskFullBackoff
-	restored, err := c.cfg.Store.Reload()
+	contents, err := c.cfg.Store.Reload()
 	if err != nil {
 		return err
 	}
+	restored := contents.Restored
 	if restored.Snapshot.GetIndex() > c.applied {
 		return fmt.Errorf("snapshot at %d is newer than the applied index %d", restored.Snapshot.GetIndex(), c.applied)
 	}
@@ -336,7 +340,10 @@
 		return err
 	}
 	meta := &wire.SnapshotMeta{Index: c.applied, Term: term, Membership: c.repl.MembershipAt(c.applied)}
-	err = c.cfg.Store.SaveSnapshot(&wire.Snapshot{Meta: meta, State: state}, c.repl.HardState(), c.repl.Entries(c.applied+1))
+	err = c.cfg.Store.SaveSnapshot(&wire.Snapshot{Meta: meta, State: state})
+	if err == nil {
+		err = c.cfg.Store.ReplaceJournal(meta, c.repl.HardState(), c.repl.Entries(c.applied+1))
+	}
 	if errors.Is(err, journal.ErrDiskFull) {
 		c.diskFull = true
 		return nil
--- a/controld/internal/store/store.go
+++ b/controld/internal/store/store.go
@@ -27,18 +27,22 @@
 // ErrInUse is returned when another process uses the data folder.
 var ErrInUse = errors.New("data folder is in use by another process")
 
-// ErrNotEmpty is returned by Bootstrap for a data folder that already has an identity.
-var ErrNotEmpty = errors.New("data folder already has an identity")
+// ErrNotEmpty is returned by Bootstrap for a data folder that was in use before.
+var ErrNotEmpty = errors.New("data folder already holds an identity, a journal or a snapshot")
 
 // Store is one data folder. It is owned by the control thread.
 type Store struct {
 	dir      string
+	open     journal.Opener
 	lock     *os.File
 	journal  *journal.Journal
 	identity *wire.Identity
 	// meta and state hold the snapshot while a follower reads it.
 	meta  *wire.SnapshotMeta
 	state []byte
+	// restart are the records that a new journal must begin with before anything is appended, because the present one
+	// does not lead up to the snapshot; nil when it does.
+	restart []*wire.JournalRecord
 }
 
 // Contents is what a data folder held when it was opened.
@@ -53,22 +57,26 @@
 	id := &wire.Identity{NodeId: uuid.NewString()}
 	member.Id, member.Voter = id.GetNodeId(), true
 	id.Bootstrap = &wire.Membership{Members: []*wire.Member{member}}
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return fmt.Errorf("create data folder: %w", err)
+	if err := makeDir(dir); err != nil {
+		return err
 	}
-	path := filepath.Join(dir, identityFile)
-	if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
-		return fmt.Errorf("%s: %w", dir, ErrNotEmpty)
+	for _, name := range []string{identityFile, journalFile, snapshotFile} {
+		if _, err := os.Stat(filepath.Join(dir, name)); !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("%s: %w", dir, ErrNotEmpty)
+		}
 	}
-	return journal.WriteFile(path, id)
+	return journal.WriteFile(filepath.Join(dir, identityFile), id, nil)
 }
 
 // Open reads a data folder. An empty one gets a new identity, which is no member of any cell yet.
-func Open(dir string) (*Store, *Contents, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, nil, fmt.Errorf("create data folder: %w", err)
+func Open(dir string) (*Store, *Contents, error) { return OpenWith(dir, nil) }
+
+// OpenWith is Open with a function that opens the files to write; nil uses the operating system.
+func OpenWith(dir string, open journal.Opener) (*Store, *Contents, error) {
+	if err := makeDir(dir); err != nil {
+		return nil, nil, err
 	}
-	s := &Store{dir: dir}
+	s := &Store{dir: dir, open: open}
 	if err := s.takeLock(); err != nil {
 		return nil, nil, err
 	}
@@ -80,6 +88,25 @@
 	return s, contents, nil
 }
 
+// makeDir creates a folder and the folders above it, durably: a folder that vanished with the power would come back with
+// a new identity.
+func makeDir(dir string) error {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return fmt.Errorf("find data folder: %w", err)
+	}
+	if _, err := os.Stat(dir); err == nil {
+		return nil
+	}
+	if err := makeDir(filepath.Dir(dir)); err != nil {
+		return err
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("create data folder: %w", err)
+	}
+	return journal.SyncDir(filepath.Dir(dir))
+}
+
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
 func (s *Store) takeLock() error {
@@ -95,19 +122,22 @@
 	return nil
 }
 
-// Reload reads the snapshot's position and the journal again, after a write that did not fit on the disk.
-func (s *Store) Reload() (replicator.Restored, error) {
+// Reload reads the snapshot and the journal again, after a write that did not fit on the disk.
+func (s *Store) Reload() (*Contents, error) {
 	if err := s.journal.Close(); err != nil {
-		return replicator.Restored{}, err
-	}
-	contents, err := s.loadContents()
-	if err != nil {
-		return replicator.Restored{}, err
+		return nil, err
 	}
-	return contents.Restored, nil
+	s.meta, s.state = nil, nil
+	return s.loadContents()
 }
 
 func (s *Store) load() (*Contents, error) {
+	for _, name := range []string{identityFile, journalFile, snapshotFile} {
+		// A crash can leave a file that was not complete yet; it would only take up space.
+		if err := os.Remove(s.path(name + ".new")); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return nil, fmt.Errorf("remove incomplete file: %w", err)
+		}
+	}
 	if err := s.loadIdentity(); err != nil {
 		return nil, err
 	}
@@ -133,6 +163,9 @@
 func (s *Store) loadIdentity() error {
 	s.identity = &wire.Identity{}
 	err := journal.ReadFile(s.path(identityFile), s.identity)
+	if err == nil && s.identity.GetNodeId() == "" {
+		return &journal.DamageError{File: s.path(identityFile), Detail: "node id is missing"}
+	}
 	if !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
@@ -142,86 +175,52 @@
 		}
 	}
 	s.identity = &wire.Identity{NodeId: uuid.NewString()}
-	return journal.WriteFile(s.path(identityFile), s.identity)
-}
-
-// loadJournal replays the records that follow the snapshot.
-func (s *Store) loadJournal(restored *replicator.Restored) error {
-	base, baseTerm := restored.Snapshot.GetIndex(), restored.Snapshot.GetTerm()
-	var entries []*wire.Entry
-	first := base + 1
-	j, err := journal.Open(journal.Config{Path: s.path(journalFile)}, func(record *wire.JournalRecord) error {
-		switch body := record.GetBody().(type) {
-		case *wire.JournalRecord_HardState:
-			restored.HardState = body.HardState
-		case *wire.JournalRecord_Snapshot:
-			if body.Snapshot.GetIndex() > base {
-				return fmt.Errorf("journal starts after index %d, but the snapshot ends at %d", body.Snapshot.GetIndex(), base)
-			}
-			first, entries = body.Snapshot.GetIndex()+1, nil
-		case *wire.JournalRecord_Entry:
-			index := body.Entry.GetIndex()
-			if len(entries) == 0 {
-				if index > base+1 {
-					return fmt.Errorf("entry %d follows index %d", index, base)
-				}
-				first = index
-			}
-			if index < first || index > first+uint64(len(entries)) {
-				return fmt.Errorf("entry %d follows index %d", index, first+uint64(len(entries))-1)
-			}
-			entries = append(entries[:index-first], body.Entry)
-		}
-		return nil
-	})
-	if err != nil {
-		return err
-	}
-	s.journal = j
-	restored.Entries = tailAfter(entries, base, baseTerm)
-	return nil
-}
-
-// tailAfter returns the entries after a snapshot. A tail that does not agree with the snapshot at its last index is
-// left over from before the snapshot was installed, and is dropped: it was never committed.
-func tailAfter(entries []*wire.Entry, base, baseTerm uint64) []*wire.Entry {
-	for i, entry := range entries {
-		if entry.GetIndex() == base && entry.GetTerm() != baseTerm {
-			return nil
-		}
-		if entry.GetIndex() > base {
-			return entries[i:]
-		}
-	}
-	return nil
+	return journal.WriteFile(s.path(identityFile), s.identity, s.open)
 }
 
 // NodeID returns the identity of the data folder.
 func (s *Store) NodeID() string { return s.identity.GetNodeId() }
 
 // Append syncs records. It returns journal.ErrDiskFull with the journal unchanged when there is no space.
-func (s *Store) Append(records []*wire.JournalRecord) error { return s.journal.Append(records...) }
+func (s *Store) Append(records []*wire.JournalRecord) error {
+	if s.restart != nil {
+		if err := s.replaceJournal(s.restart); err != nil {
+			return err
+		}
+	}
+	return s.journal.Append(records...)
+}
 
 // JournalBytes returns the size of the journal.
 func (s *Store) JournalBytes() int64 { return s.journal.Size() }
 
-// SaveSnapshot stores a snapshot and replaces the journal by one that holds only the hard state and the entries after
-// the snapshot.
-func (s *Store) SaveSnapshot(snapshot *wire.Snapshot, hard *wire.HardState, tail []*wire.Entry) error {
-	if err := journal.WriteFile(s.path(snapshotFile), snapshot); err != nil {
+// SaveSnapshot stores a snapshot. The journal stays as it is: it must hold every entry after the snapshot, or be replaced
+// next. It returns journal.ErrDiskFull, with the earlier snapshot in place, when there is no space.
+func (s *Store) SaveSnapshot(snapshot *wire.Snapshot) error {
+	if err := journal.WriteFile(s.path(snapshotFile), snapshot, s.open); err != nil {
 		return err
 	}
 	s.meta, s.state = nil, nil
-	records := []*wire.JournalRecord{
-		{Body: &wire.JournalRecord_Snapshot{Snapshot: &wire.SnapshotMeta{
-			Index: snapshot.GetMeta().GetIndex(), Term: snapshot.GetMeta().GetTerm(),
-		}}},
-		{Body: &wire.JournalRecord_HardState{HardState: hard}},
+	return nil
+}
+
+// ReplaceJournal replaces the journal by one that holds only the hard state and the entries after the stored snapshot. It
+// returns journal.ErrDiskFull, with the earlier journal in place, when there is no space.
+func (s *Store) ReplaceJournal(meta *wire.SnapshotMeta, hard *wire.HardState, tail []*wire.Entry) error {
+	return s.replaceJournal(journalStart(meta, hard, tail))
+}
+
+func journalStart(meta *wire.SnapshotMeta, hard *wire.HardState, tail []*wire.Entry) []*wire.JournalRecord {
+	records := []*wire.JournalRecord{{Body: &wire.JournalRecord_Snapshot{Snapshot: &wire.SnapshotMeta{
+		Index: meta.GetIndex(), Term: meta.GetTerm(),
+	}}}}
+	if hard != nil {
+		records = append(records, &wire.JournalRecord{Body: &wire.JournalRecord_HardState{HardState: hard}})
 	}
 	for _, entry := range tail {
 		records = append(records, &wire.JournalRecord{Body: &wire.JournalRecord_Entry{Entry: entry}})
 	}
-	return s.replaceJournal(records)
+	return records
 }
 
 func (s *Store) replaceJournal(records []*wire.JournalRecord) error {
@@ -229,12 +228,14 @@
 	if err := os.Remove(temporary); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return fmt.Errorf("remove old journal draft: %w", err)
 	}
-	j, err := journal.Open(journal.Config{Path: temporary}, func(*wire.JournalRecord) error { return nil })
+	j, err := journal.Open(s.journalConfig(temporary), func(*wire.JournalRecord) error { return nil })
 	if err != nil {
 		return err
 	}
 	if err := j.Append(records...); err != nil {
 		_ = j.Close()
+		// The draft would take up the space that is missing.
+		_ = os.Remove(temporary)
 		return err
 	}
 	if err := os.Rename(temporary, s.path(journalFile)); err != nil {
@@ -246,10 +247,14 @@
 		return err
 	}
 	_ = s.journal.Close()
-	s.journal = j
+	s.journal, s.restart = j, nil
 	return nil
 }
 
+func (s *Store) journalConfig(path string) journal.Config {
+	return journal.Config{Path: path, Open: s.open}
+}
+
 // ReadChunk returns a part of the stored snapshot's state.
 func (s *Store) ReadChunk(meta *wire.SnapshotMeta, offset uint64, size int) (data []byte, last bool, err error) {
 	if s.meta.GetIndex() != meta.GetIndex() || s.meta == nil {
--- a/core/journal/file.go
+++ b/core/journal/file.go
@@ -6,7 +6,6 @@
 	"io/fs"
 	"os"
 	"path/filepath"
-	"syscall"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -15,37 +14,49 @@
 const maxFileBytes = 128 << 20
 
 // WriteFile replaces a file by one that holds a single message. After a crash the file holds either the old or the new
-// content. It returns ErrDiskFull, with the old content in place, when there is no space.
-func WriteFile(path string, msg proto.Message) error {
-	data, err := frame(nil, msg, maxFileBytes)
+// content. It returns ErrDiskFull, with the old content in place, when there is no space. open is used for the new file;
+// nil uses the operating system.
+func WriteFile(path string, msg proto.Message, open Opener) error {
+	data, err := appendFrame(nil, msg, maxFileBytes)
 	if err != nil {
 		return err
 	}
-	return replaceFile(path, data)
+	if open == nil {
+		open = openFile
+	}
+	return replaceFile(path, data, open)
 }
 
 // replaceFile writes data beside the file, syncs it, renames it and syncs the folder.
-func replaceFile(path string, data []byte) error {
+func replaceFile(path string, data []byte, open Opener) error {
 	temporary := path + ".new"
-	if err := writeSynced(temporary, data); err != nil {
+	if err := writeSynced(temporary, data, open); err != nil {
 		_ = os.Remove(temporary)
-		if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		if noSpace(err) {
 			return ErrDiskFull
 		}
 		return err
 	}
 	if err := os.Rename(temporary, path); err != nil {
+		_ = os.Remove(temporary)
+		if noSpace(err) {
+			return ErrDiskFull
+		}
 		return fmt.Errorf("rename %s: %w", temporary, err)
 	}
 	return SyncDir(filepath.Dir(path))
 }
 
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+func writeSynced(path string, data []byte, open Opener) error {
+	f, err := open(path)
 	if err != nil {
 		return fmt.Errorf("create %s: %w", path, err)
 	}
-	if _, err := f.Write(data); err != nil {
+	if err := f.Truncate(0); err != nil {
+		_ = f.Close()
+		return fmt.Errorf("truncate %s: %w", path, err)
+	}
+	if _, err := f.WriteAt(data, 0); err != nil {
 		_ = f.Close()
 		return fmt.Errorf("write %s: %w", path, err)
 	}
@@ -69,7 +80,7 @@
 	if err != nil {
 		return fmt.Errorf("read %s: %w", path, err)
 	}
-	payload, detail := parseRecord(data, maxFileBytes)
+	payload, detail := parseFrame(data, maxFileBytes)
 	if detail != "" {
 		return &DamageError{File: path, Detail: detail}
 	}
--- a/core/journal/journal.go
+++ b/core/journal/journal.go
@@ -2,10 +2,8 @@
 package journal
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"os"
 	"path/filepath"
@@ -16,16 +14,6 @@
 	"flamingodrift.example/core/wire"
 )
 
-// Every record is a header of 12 bytes and a payload: length (4 bytes), version (2), reserved (2), CRC-32C (4) over the
-// first 8 header bytes and the payload. Numbers are little-endian.
-const (
-	headerBytes     = 12
-	version         = 1
-	maxPayloadBytes = 16 << 20
-)
-
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 var (
 	// ErrDiskFull is returned by Append when there is no space. The journal is unchanged and may be used again.
 	ErrDiskFull = errors.New("no space left for the journal")
@@ -60,9 +48,15 @@
 	// Path of the journal file. Its folder must exist.
 	Path string
 	// Open opens the file; nil uses the operating system.
-	Open func(path string) (File, error)
+	Open Opener
 }
 
+// Opener opens a file for reading and writing and creates it when there is none.
+type Opener func(path string) (File, error)
+
+// batchOverhead bounds the bytes that a batch adds to each record: a field tag and a length.
+const batchOverhead = 6
+
 // Journal appends records to one file. It is not safe for concurrent use.
 type Journal struct {
 	cfg    Config
@@ -71,13 +65,17 @@
 	broken bool
 }
 
-// Open reads the journal and passes each record to replay. A torn record at the end, with nothing valid after it, is
-// cut off. Damage anywhere else is a *DamageError.
+// Open reads the journal and passes each record to replay. An append at the end that a crash interrupted is cut off.
+// Any other damage is a *DamageError. Records that were replayed are durable. It returns ErrDiskFull when the file cannot
+// be created for lack of space.
 func Open(cfg Config, replay func(*wire.JournalRecord) error) (*Journal, error) {
 	if cfg.Open == nil {
 		cfg.Open = openFile
 	}
 	file, err := cfg.Open(cfg.Path)
+	if noSpace(err) {
+		return nil, fmt.Errorf("create %s: %w", cfg.Path, ErrDiskFull)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("open journal: %w", err)
 	}
@@ -93,6 +91,8 @@
 	return j, nil
 }
 
+func noSpace(err error) bool { return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) }
+
 func openFile(path string) (File, error) {
 	return os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 }
@@ -119,12 +119,9 @@
 	if j.broken {
 		return ErrBroken
 	}
-	var buf []byte
-	for _, record := range records {
-		var err error
-		if buf, err = frame(buf, record, maxPayloadBytes); err != nil {
-			return err
-		}
+	buf, err := encodeBatches(records)
+	if err != nil {
+		return err
 	}
 	if len(buf) == 0 {
 		return nil
@@ -140,9 +137,30 @@
 	return nil
 }
 
+// encodeBatches puts the records into one frame, or into several when they exceed the limit of a frame.
+func encodeBatches(records []*wire.JournalRecord) ([]byte, error) {
+	var buf []byte
+	for len(records) > 0 {
+		count, size := 0, 0
+		for count < len(records) {
+			size += proto.Size(records[count]) + batchOverhead
+			if count > 0 && size > maxPayloadBytes {
+				break
+			}
+			count++
+		}
+		var err error
+		if buf, err = appendFrame(buf, &wire.JournalBatch{Records: records[:count]}, maxPayloadBytes); err != nil {
+			return nil, err
+		}
+		records = records[count:]
+	}
+	return buf, nil
+}
+
 // undo removes a partly written batch.
 func (j *Journal) undo(cause error) error {
-	if !errors.Is(cause, syscall.ENOSPC) && !errors.Is(cause, syscall.EDQUOT) {
+	if !noSpace(cause) {
 		j.broken = true
 		return fmt.Errorf("%w: write %s at offset %d: %w", ErrBroken, j.cfg.Path, j.size, cause)
 	}
@@ -152,7 +170,7 @@
 	}
 	if err := j.file.Sync(); err != nil {
 		j.broken = true
-		return fmt.Errorf("%w: sync %s after truncation: %w", ErrBroken, j.cfg.Path, err)
+		return fmt.Errorf("%w: sync %s after truncation to %d: %w", ErrBroken, j.cfg.Path, j.size, err)
 	}
 	return ErrDiskFull
 }
@@ -165,29 +183,6 @@
 	return nil
 }
 
-// frame appends a record that holds msg to buf.
-func frame(buf []byte, msg proto.Message, limit int) ([]byte, error) {
-	start := len(buf)
-	buf = append(buf, make([]byte, headerBytes)...)
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, msg)
-	if err != nil {
-		return nil, fmt.Errorf("encode record: %w", err)
-	}
-	header := buf[start : start+headerBytes]
-	payload := buf[start+headerBytes:]
-	if len(payload) > limit {
-		return nil, fmt.Errorf("record of %d bytes exceeds %d", len(payload), limit)
-	}
-	binary.LittleEndian.PutUint32(header, uint32(len(payload)))
-	binary.LittleEndian.PutUint16(header[4:], version)
-	binary.LittleEndian.PutUint32(header[8:], checksum(header, payload))
-	return buf, nil
-}
-
-func checksum(header, payload []byte) uint32 {
-	return crc32.Update(crc32.Checksum(header[:8], castagnoli), castagnoli, payload)
-}
-
 func (j *Journal) replay(handle func(*wire.JournalRecord) error) error {
 	data, err := io.ReadAll(io.NewSectionReader(j.file, 0, 1<<62))
 	if err != nil {
@@ -195,69 +190,51 @@
 	}
 	offset := 0
 	for offset < len(data) {
-		payload, detail := parseRecord(data[offset:], maxPayloadBytes)
+		payload, detail := parseFrame(data[offset:], maxPayloadBytes)
 		if detail != "" {
-			if tornTail(data[offset:]) {
-				return j.cut(int64(offset))
+			if !tornTail(data, offset) {
+				return &DamageError{File: j.cfg.Path, Offset: int64(offset), Detail: detail}
 			}
-			return &DamageError{File: j.cfg.Path, Offset: int64(offset), Detail: detail}
-		}
-		record := &wire.JournalRecord{}
-		if err := proto.Unmarshal(payload, record); err != nil {
-			return &DamageError{File: j.cfg.Path, Offset: int64(offset), Detail: "record does not decode"}
+			if err := j.cut(int64(offset)); err != nil {
+				return err
+			}
+			break
 		}
-		if err := handle(record); err != nil {
-			return &DamageError{File: j.cfg.Path, Offset: int64(offset), Detail: err.Error()}
+		if detail := replayBatch(payload, handle); detail != "" {
+			return &DamageError{File: j.cfg.Path, Offset: int64(offset), Detail: detail}
 		}
 		offset += headerBytes + len(payload)
 	}
 	j.size = int64(offset)
-	return nil
+	return j.makeDurable(data[:offset])
 }
 
-// parseRecord returns the payload of the record at the start of data, or what is wrong with it.
-func parseRecord(data []byte, limit uint32) (payload []byte, detail string) {
-	if len(data) < headerBytes {
-		return nil, "header is cut short"
+func replayBatch(payload []byte, handle func(*wire.JournalRecord) error) (detail string) {
+	batch := &wire.JournalBatch{}
+	if err := proto.Unmarshal(payload, batch); err != nil {
+		return "batch does not decode"
 	}
-	size := binary.LittleEndian.Uint32(data)
-	if size > limit {
-		return nil, fmt.Sprintf("length %d exceeds %d", size, limit)
-	}
-	if len(data) < headerBytes+int(size) {
-		return nil, "payload is cut short"
-	}
-	payload = data[headerBytes : headerBytes+int(size)]
-	if checksum(data[:headerBytes], payload) != binary.LittleEndian.Uint32(data[8:]) {
-		return nil, "checksum does not match"
-	}
-	if v := binary.LittleEndian.Uint16(data[4:]); v != version {
-		return nil, fmt.Sprintf("version %d, want %d", v, version)
+	for _, record := range batch.GetRecords() {
+		if err := handle(record); err != nil {
+			return err.Error()
+		}
 	}
-	return payload, ""
+	return ""
 }
 
-// tornTail reports whether no valid record follows the damaged start of data. Then the damage is an append that a crash
-// interrupted, and nothing in it was acknowledged.
-func tornTail(data []byte) bool {
-	for at := 1; at+headerBytes <= len(data); at++ {
-		if _, detail := parseRecord(data[at:], maxPayloadBytes); detail == "" && binary.LittleEndian.Uint32(data[at:]) > 0 {
-			return false
-		}
+// makeDurable writes what was read in place and syncs it. An earlier process may have stopped before its sync, or the
+// sync may have failed; then the page cache holds records that the disk does not, and a sync alone would not write them.
+func (j *Journal) makeDurable(data []byte) error {
+	if len(data) == 0 {
+		return nil
 	}
-	// A whole record of a foreign version is no torn append.
-	if len(data) >= headerBytes && binary.LittleEndian.Uint16(data[4:]) != version && wholeRecord(data) {
-		return false
+	if _, err := j.file.WriteAt(data, 0); err != nil {
+		return fmt.Errorf("write %s in place: %w", j.cfg.Path, err)
 	}
-	return true
-}
-
-func wholeRecord(data []byte) bool {
-	size := int(binary.LittleEndian.Uint32(data))
-	if size > maxPayloadBytes || len(data) < headerBytes+size {
-		return false
+	if err := j.file.Sync(); err != nil {
+		return fmt.Errorf("sync %s after opening: %w", j.cfg.Path, err)
 	}
-	return checksum(data[:headerBytes], data[headerBytes:headerBytes+size]) == binary.LittleEndian.Uint32(data[8:])
+	return nil
 }
 
 func (j *Journal) cut(offset int64) error {
