--- a/controld/internal/cell/sheet.go
+++ b/controld/internal/cell/sheet.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"flamingodrift.example/controld/internal/job"
+	"flamingodrift.example/controld/internal/resource"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
@@ -136,17 +137,28 @@
 			jobs++
 		}
 	}
-	if tasks > MaxTasks {
+	if tasks > c.limits.Tasks {
 		return refuse(reason.LimitReached, "at most %d tasks, with those that still run for earlier sheets; this would make %d",
-			MaxTasks, tasks)
+			c.limits.Tasks, tasks)
 	}
-	if jobs > MaxJobs {
+	if jobs > c.limits.Jobs {
 		return refuse(reason.LimitReached, "at most %d jobs, with those that still run for earlier sheets; this would make %d",
-			MaxJobs, jobs)
+			c.limits.Jobs, jobs)
 	}
 	return nil
 }
 
+// activeSize returns what the active tasks of a job take.
+func activeSize(j *job.Job) resource.Vector {
+	var sum resource.Vector
+	for _, t := range j.Tasks() {
+		if t.Active() {
+			sum = sum.Add(t.Placed())
+		}
+	}
+	return sum
+}
+
 func (c *Cell) replaceJobs(specs []*wire.JobSpec, preview *Preview, now int64) {
 	listed := make(map[string]bool, len(specs))
 	for _, spec := range specs {
@@ -165,7 +177,10 @@
 		case spent(j):
 			continue
 		default:
+			// The row may name another team, which answers for the active tasks from now on.
+			c.use(j, resource.Vector{}.Sub(activeSize(j)))
 			j.Update(spec, now)
+			c.use(j, activeSize(j))
 		}
 		c.touch(j)
 	}
@@ -191,6 +206,7 @@
 		}
 		delete(c.jobs, id)
 		delete(c.waiting, id)
+		c.index.drop(j)
 	}
 	for hash, day := range c.finished {
 		if now/dayMs-day > FinishedRunDays {
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -44,6 +44,7 @@
 	}
 	c.plan = planner.New(c.cfg.Planner)
 	c.tally = tally.New(time.Now().UnixMilli())
+	c.checkpoints = map[uint64]time.Duration{}
 	c.deciding, c.workerBatch, c.pending = false, nil, map[string]bool{}
 	c.seenAlive = map[string]time.Duration{}
 	for _, m := range c.repl.Membership().GetMembers() {
