Keep a cancelled run cancelled when its row had already left the sheet

A run had left the sheet with one task running and one cancelled for that reason. An operator cancelled it, the running task still succeeded, and so nothing recorded the operator's wish: the run resumed when its row returned.

Ruled out: a flag on the job. The tasks already carry the reason of their end.

Change: cancelling a job also marks tasks that ended when its row left the sheet.

--- a/controld/internal/cell/sheet_test.go
+++ b/controld/internal/cell/sheet_test.go
@@ -298,3 +298,17 @@
 	d.status("r0@1/0", wire.TaskPhase_TASK_PHASE_SUCCEEDED)
 	d.accept(3, 0, full...)
 }
+// TestCancelAfterTheRowLeft guards against a run that an operator cancelled after its row had left the sheet, and that
+// resumes when the row returns. Found by TestRunsRunOnce.
+func TestCancelAfterTheRowLeft(t *testing.T) {
+	d := newDesk(t)
+	run, other := row("settle", "batch", 2, "dec", "x"), row("other", "batch", 1, "", "x")
+	d.accept(1, 0, run, other)
+	d.place("settle@dec/0")
+	d.accept(2, 0, other)
+	require.Empty(t, d.cancel("settle").GetReason())
+	d.status("settle@dec/0", wire.TaskPhase_TASK_PHASE_SUCCEEDED)
+	require.Equal(t, []string{"settle@dec"}, d.preview(run, other).AlreadyRun)
+	d.accept(3, 0, run, other)
+	require.NotEqual(t, "WAITING", d.state("settle@dec/1"))
+}
--- a/controld/internal/job/job.go
+++ b/controld/internal/job/job.go
@@ -141,6 +141,10 @@
 	j.removed = true
 	for _, t := range j.tasks {
 		j.retire(t, reason.Cancelled, nowUnixMs)
+		if t.state == wire.TaskState_TASK_STATE_CANCELLED {
+			// Also a task that ended when its row left the sheet must not resume if the row returns.
+			t.detail = reason.Cancelled.String()
+		}
 	}
 }
 
