Name a silent control process within seconds

Cause: found by running the procedures of docs/operators.md on loopback with three control processes. `status` took 10 s to name a killed one (it used the time after which a name may be taken over), so an operator who restarts hosts one by one would have stopped the second of three voters. While a host is replaced, two members have one name, and the new one would have been shown as silent. A question without an answer advised to send a change again.

Change: silence counts from 2 s and by member id. Questions that get no answer name the reason only.

Tests: scenario "problems" kills a control and an entry process and waits until status names both and then none; a test of the list of hosts during a replacement.

--- a/controld/internal/cell/sheet_test.go
+++ b/controld/internal/cell/sheet_test.go
@@ -298,6 +298,7 @@
 	d.status("r0@1/0", wire.TaskPhase_TASK_PHASE_SUCCEEDED)
 	d.accept(3, 0, full...)
 }
+
 // TestCancelAfterTheRowLeft guards against a run that an operator cancelled after its row had left the sheet, and that
 // resumes when the row returns. Found by TestRunsRunOnce.
 func TestCancelAfterTheRowLeft(t *testing.T) {
--- a/controld/internal/controller/tally.go
+++ b/controld/internal/controller/tally.go
@@ -14,12 +14,23 @@
 	}
 }
 
-// silentMembers returns the names of the other members that have not been heard for some seconds.
+// silentAfter is how long a member may be unheard before operators are told. It is well below nameSilence: an operator
+// who restarts hosts one by one must see a missing member before stopping the next.
+const silentAfter = 2 * time.Second
+
+// silentMembers returns the ids of the other members that have not been heard for silentAfter.
 func (c *Controller) silentMembers(now time.Duration) []string {
 	var silent []string
 	for _, m := range c.repl.Membership().GetMembers() {
-		if !c.recentlyHeard(m.GetId(), now) {
-			silent = append(silent, m.GetName())
+		if m.GetId() == c.repl.ID() {
+			continue
+		}
+		_, heard, acked := c.repl.MatchIndex(m.GetId())
+		if !acked {
+			heard = c.seenAlive[m.GetId()]
+		}
+		if now-heard >= silentAfter {
+			silent = append(silent, m.GetId())
 		}
 	}
 	return silent
--- a/controld/internal/controller/view.go
+++ b/controld/internal/controller/view.go
@@ -18,7 +18,7 @@
 	DiskFull   bool
 	// Voters is how many voters the group should have.
 	Voters int
-	// Silent names the members that have not been heard for some seconds.
+	// Silent holds the ids of members that have not been heard for some seconds.
 	Silent []string
 	Tally  *tally.Tally
 }
--- a/controld/internal/explainer/explainer.go
+++ b/controld/internal/explainer/explainer.go
@@ -26,7 +26,8 @@
 	Membership *wire.Membership
 	// Voters is how many voters the group should have.
 	Voters int
-	// Silent names the control members that the leader has not heard for some seconds.
+	// Silent holds the ids of the control members that the leader has not heard for some seconds. A name is not enough:
+	// while a lost host is replaced, two members have the same name.
 	Silent     []string
 	LeaderName string
 	DiskFull   bool
--- a/controld/internal/explainer/explainer_test.go
+++ b/controld/internal/explainer/explainer_test.go
@@ -69,7 +69,7 @@
 			"settle@1": {Reason: reason.NoCapacity, Since: 58 * time.Second},
 		},
 		Registrar: registrar.New(registrar.Config{}, 1, nil, nil, 0), Tally: tally.New(nowUnixMs),
-		Membership: &wire.Membership{Members: []*wire.Member{{Name: "control-1", Voter: true}, {Name: "control-2", Voter: true}}},
+		Membership: &wire.Membership{Members: []*wire.Member{{Id: "1", Name: "control-1", Voter: true}, {Id: "2", Name: "control-2", Voter: true}}},
 		LeaderName: "control-1", Voters: 2, Now: time.Minute,
 	}
 }
@@ -131,7 +131,7 @@
 	require.Equal(t, []string{"Job huge@1 can never run; flamingoctl why huge@1 says why."}, status.Problems)
 	require.Equal(t, "There is 1 problem:", status.Sentences[0])
 
-	e.Voters, e.DiskFull, e.Silent = 3, true, []string{"control-2"}
+	e.Voters, e.DiskFull, e.Silent = 3, true, []string{"2"}
 	e.Tally.EntryReported("entry-2", true)
 	e.Tally.EntryLost("entry-2", nowUnixMs)
 	e.Tally.EntryReported("entry-1", false)
@@ -179,3 +179,15 @@
 		require.Empty(t, task.Sentence, "20,000 sentences would exceed the largest answer")
 	}
 }
+
+// TestReplacedControlMember guards against a new host being shown as silent because it has the name of the lost one.
+func TestReplacedControlMember(t *testing.T) {
+	e := fixture(t)
+	e.Silent = []string{"2"}
+	e.Membership.Members = append(e.Membership.Members, &wire.Member{Id: "3", Name: "control-2"})
+	var states []string
+	for _, h := range e.Hosts()[:3] {
+		states = append(states, h.State)
+	}
+	require.Equal(t, []string{"leader", "silent", "non_voter"}, states)
+}
--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -30,7 +31,7 @@
 	if s.ControlVoters < e.Voters {
 		problems = append(problems, fmt.Sprintf("Control voters are missing, %d of %d: replace the lost hosts.", e.Voters-s.ControlVoters, e.Voters))
 	}
-	add(e.Silent, "Control member %s is silent.", "control members are silent: %s.")
+	add(e.silentControls(), "Control member %s is silent.", "control members are silent: %s.")
 	var silent []string
 	for _, entry := range e.Tally.SilentEntries() {
 		silent = append(silent, entry.Name)
@@ -55,6 +56,16 @@
 	return problems
 }
 
+func (e *Explainer) silentControls() []string {
+	var names []string
+	for _, m := range e.Membership.GetMembers() {
+		if slices.Contains(e.Silent, m.GetId()) {
+			names = append(names, m.GetName())
+		}
+	}
+	return names
+}
+
 func someOf(names []string) string {
 	if len(names) <= shownNames {
 		return strings.Join(names, ", ")
--- a/flamingoctl/main.go
+++ b/flamingoctl/main.go
@@ -60,11 +60,20 @@
 			return fmt.Errorf("%w; to send the same change again use --change-id %s --revision %v",
 				err, body["change_id"], body["expected_revision"])
 		}
-		return err
+		return withoutAdvice(err)
 	}
 	return printer.New(os.Stdout, args.Output == "json").Print(action, answer)
 }
 
+// withoutAdvice shortens the error of a question: the advice to send a change again does not apply.
+func withoutAdvice(err error) error {
+	var refusal *client.Refusal
+	if errors.Is(err, client.ErrUnreachable) && errors.As(err, &refusal) {
+		return fmt.Errorf("%w (%s)", client.ErrUnreachable, refusal.Reason)
+	}
+	return err
+}
+
 func entryList(text string) []string {
 	var entries []string
 	for _, entry := range strings.Split(text, ",") {
--- a/standin/internal/scenario/scenario_test.go
+++ b/standin/internal/scenario/scenario_test.go
@@ -46,6 +46,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
+			env.Values[cellKey{}] = &cellHolder{}
 			env.Values[violationsKey{}] = func(found ...string) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -58,6 +59,7 @@
 			"ctl":       ctl,
 			"await":     await,
 			"no-tokens": noTokens,
+			"process":   process,
 		},
 	})
 }
@@ -65,6 +67,21 @@
 // violationsKey finds the function that records broken invariants.
 type violationsKey struct{}
 
+// cellKey finds the cell of a scenario.
+type cellKey struct{}
+
+type cellHolder struct{ cell *launcher.Launcher }
+
+// process starts or kills a process of the cell: process start|kill NAME.
+func process(ts *testscript.TestScript, _ bool, args []string) {
+	cell := ts.Value(cellKey{}).(*cellHolder).cell
+	if args[0] == "kill" {
+		ts.Check(cell.Kill(args[1]))
+		return
+	}
+	ts.Check(cell.Start(args[1]))
+}
+
 // startCell starts three control processes, two entry processes and a number of workers: cell WORKERS.
 func startCell(ts *testscript.TestScript, _ bool, args []string) {
 	workers, err := strconv.Atoi(args[0])
@@ -90,6 +107,7 @@
 	token := ts.MkAbs("token")
 	ts.Check(os.WriteFile(token, []byte(launcher.Token+"\n"), 0o600))
 	ts.Setenv("FLAMINGO_TOKEN_FILE", token)
+	ts.Value(cellKey{}).(*cellHolder).cell = cell
 	ts.Setenv("FLAMINGO_ENTRIES", cell.EntryHTTP(0)+","+cell.EntryHTTP(1))
 	if workers > 0 {
 		await(ts, false, []string{"0", fmt.Sprintf(`There are %d worker`, workers), "status"})
