Bound operators' answers and shorten the time that a list keeps the control thread

Cause: an answer above what a session carries would have looked like a leader that does not answer (the new test failed with status 200 for an answer of 8 MiB). `list` wrote a sentence for every task and then dropped it.

Change: an answer above 8 MiB is refused with answer_too_large. Lines of a list are made without sentences.

--- a/controld/internal/explainer/tasks.go
+++ b/controld/internal/explainer/tasks.go
@@ -29,9 +29,7 @@
 	tasks := []*Task{}
 	for _, j := range e.jobs() {
 		for _, t := range j.Tasks() {
-			task := e.task(t)
-			task.Sentence = ""
-			tasks = append(tasks, task)
+			tasks = append(tasks, e.line(t))
 		}
 	}
 	return tasks
@@ -76,9 +74,8 @@
 				w.SinceUnixMs = t.SinceUnixMs()
 			}
 		}
-		why, text := e.whyWaiting(j)
-		w.Reason = why.String()
-		w.Sentence = fmt.Sprintf("%s since %s. %s", waitPhrase(j), at(w.SinceUnixMs), text)
+		w.Reason = e.waitReason(j).String()
+		w.Sentence = fmt.Sprintf("%s since %s. %s", waitPhrase(j), at(w.SinceUnixMs), e.whyWaiting(j))
 		list = append(list, w)
 	}
 	return list
@@ -92,10 +89,10 @@
 }
 
 // whyWaiting says why a job waits, for how long it has waited for that reason, and what would release it.
-func (e *Explainer) whyWaiting(j *job.Job) (reason.Reason, string) {
+func (e *Explainer) whyWaiting(j *job.Job) string {
 	w, ok := e.Planner.Waiting(j.ID())
 	if !ok {
-		return reason.NotYetDecided, waitSentences[reason.NotYetDecided]
+		return waitSentences[reason.NotYetDecided]
 	}
 	text := waitSentences[w.Reason]
 	if w.Reason == reason.JobHeld && j.HoldReason() != "" {
@@ -107,37 +104,61 @@
 	if held := (e.Now - w.Since).Round(time.Second); held >= time.Second {
 		text += fmt.Sprintf(" This has been the reason for %s.", held)
 	}
-	return w.Reason, text
+	return text
 }
 
-func (e *Explainer) task(t *job.Task) *Task {
-	why, sentence := e.explain(t)
+// line returns a task without its sentence. Sentences for all tasks of a full cell would keep the control thread for
+// many times as long.
+func (e *Explainer) line(t *job.Task) *Task {
 	return &Task{
 		Task: t.ID(), Team: t.Job().Spec().GetTeam(), Kind: kindName(t.Job().Spec().GetKind()), State: stateName(t),
-		Worker: t.Worker(), Reason: why.String(), Failures: t.Failures(), SinceUnixMs: t.SinceUnixMs(),
-		Sentence: sentence + failureSentence(t),
+		Worker: t.Worker(), Reason: e.reasonOf(t).String(), Failures: t.Failures(), SinceUnixMs: t.SinceUnixMs(),
+	}
+}
+
+func (e *Explainer) task(t *job.Task) *Task {
+	task := e.line(t)
+	task.Sentence = e.explain(t) + failureSentence(t)
+	return task
+}
+
+func (e *Explainer) reasonOf(t *job.Task) reason.Reason {
+	switch {
+	case t.Waiting():
+		return e.waitReason(t.Job())
+	case t.Stopping():
+		return reason.Reason(t.StopReason())
+	case t.State() == wire.TaskState_TASK_STATE_CANCELLED:
+		return reason.Reason(t.Detail())
+	default:
+		return reason.None
+	}
+}
+
+func (e *Explainer) waitReason(j *job.Job) reason.Reason {
+	if w, ok := e.Planner.Waiting(j.ID()); ok {
+		return w.Reason
 	}
+	return reason.NotYetDecided
 }
 
-func (e *Explainer) explain(t *job.Task) (reason.Reason, string) {
+func (e *Explainer) explain(t *job.Task) string {
 	since := at(t.SinceUnixMs())
 	switch t.State() {
 	case wire.TaskState_TASK_STATE_PLACED, wire.TaskState_TASK_STATE_RUNNING:
 		return e.explainActive(t, since)
 	case wire.TaskState_TASK_STATE_SUCCEEDED:
-		return reason.None, fmt.Sprintf("It succeeded at %s.", since)
+		return fmt.Sprintf("It succeeded at %s.", since)
 	case wire.TaskState_TASK_STATE_FAILED:
-		return reason.None, fmt.Sprintf("It failed at %s and will not run again.", since)
+		return fmt.Sprintf("It failed at %s and will not run again.", since)
 	case wire.TaskState_TASK_STATE_CANCELLED:
-		why := reason.Reason(t.Detail())
-		return why, fmt.Sprintf("It was cancelled at %s: %s.", since, stopText(why))
+		return fmt.Sprintf("It was cancelled at %s: %s.", since, stopText(e.reasonOf(t)))
 	default:
-		why, text := e.whyWaiting(t.Job())
-		return why, fmt.Sprintf("It waits since %s. %s", since, text)
+		return fmt.Sprintf("It waits since %s. %s", since, e.whyWaiting(t.Job()))
 	}
 }
 
-func (e *Explainer) explainActive(t *job.Task, since string) (reason.Reason, string) {
+func (e *Explainer) explainActive(t *job.Task, since string) string {
 	where := "worker " + t.Worker()
 	if w := e.Cell.Worker(t.Worker()); w != nil {
 		where += fmt.Sprintf(" (rack %s, failure domain %s)", w.Rack(), w.FailureDomain())
@@ -147,10 +168,9 @@
 		text = fmt.Sprintf("It is placed on %s since %s; the worker has not reported its start.", where, since)
 	}
 	if !t.Stopping() {
-		return reason.None, text
+		return text
 	}
-	why := reason.Reason(t.StopReason())
-	return why, text + fmt.Sprintf(" It is asked to stop: %s.", stopText(why))
+	return text + fmt.Sprintf(" It is asked to stop: %s.", stopText(e.reasonOf(t)))
 }
 
 func stopText(why reason.Reason) string {
--- a/controld/internal/server/server.go
+++ b/controld/internal/server/server.go
@@ -13,8 +13,12 @@
 	"flamingodrift.example/core/wire"
 )
 
-// answerTimeout bounds the wait for the control thread and for a commit.
-const answerTimeout = 5 * time.Second
+const (
+	// answerTimeout bounds the wait for the control thread and for a commit.
+	answerTimeout = 5 * time.Second
+	// maxAnswerBytes is below what a session between the cell's own processes carries in one message.
+	maxAnswerBytes = 8 << 20
+)
 
 // Server turns requests of peers into calls of a controller.
 type Server struct {
@@ -68,6 +72,10 @@
 	if err != nil {
 		status, data = http.StatusInternalServerError, []byte(`{"reason":"request_invalid","detail":"answer does not encode"}`)
 	}
+	if len(data) > maxAnswerBytes {
+		status = http.StatusRequestEntityTooLarge
+		data = []byte(`{"reason":"` + reason.AnswerTooLarge.String() + `","detail":"the answer exceeds 8 MiB; ask with why for one name"}`)
+	}
 	return &wire.Reply{Body: &wire.Reply_Operate{Operate: &wire.OperateReply{Status: uint32(status), Body: data}}}
 }
 
--- /dev/null
+++ b/controld/internal/server/size_test.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/controld/internal/cell"
+	"flamingodrift.example/controld/internal/explainer"
+	"flamingodrift.example/controld/internal/planner"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/sheet"
+	"flamingodrift.example/core/wire"
+)
+
+type undecided struct{}
+
+func (undecided) Waiting(string) (planner.Waiting, bool) { return planner.Waiting{}, false }
+
+// fullCell holds as many jobs and tasks as a cell may.
+func fullCell(tb testing.TB) *explainer.Explainer {
+	c := cell.New()
+	text := "sheet,1\nkey,team,kind,tasks,processors,memory_mb,run,command\n"
+	for i := range cell.MaxJobs {
+		text += fmt.Sprintf("settlement-of-shop-%05d,settlements,batch,2,1,64,2026-12-04,settle\n", i)
+	}
+	parsed, err := sheet.Parse([]byte(text))
+	require.NoError(tb, err)
+	result := c.Apply(&wire.Command{NowUnixMs: 1_800_000_000_000, Body: &wire.Command_ApplySheet{ApplySheet: &wire.ApplySheet{
+		Change: &wire.Change{Id: "x"}, Number: 1, Digest: parsed.Digest(), Jobs: parsed.Jobs(),
+	}}})
+	require.Empty(tb, result.GetReason())
+	return &explainer.Explainer{Cell: c, Planner: undecided{}}
+}
+
+// TestFullCellFitsAnAnswer guards the questions on call against an answer that is too large to be sent.
+func TestFullCellFitsAnAnswer(t *testing.T) {
+	e := fullCell(t)
+	list, waiting := e.List(), e.Waiting()
+	require.Len(t, list, cell.MaxTasks)
+	require.Len(t, waiting, cell.MaxJobs)
+	for _, answer := range []any{list, waiting} {
+		require.EqualValues(t, 200, reply(200, answer).GetOperate().GetStatus())
+	}
+}
+
+// TestTooLargeAnswerIsRefused guards against an answer that the session cannot carry, which would look like a leader
+// that does not answer.
+func TestTooLargeAnswerIsRefused(t *testing.T) {
+	got := reply(200, strings.Repeat("x", maxAnswerBytes)).GetOperate()
+	require.EqualValues(t, 413, got.GetStatus())
+	problem := &Problem{}
+	require.NoError(t, json.Unmarshal(got.GetBody(), problem))
+	require.Equal(t, reason.AnswerTooLarge.String(), problem.Reason)
+}
+
+// BenchmarkList measures how long a list of a full cell keeps the control thread.
+func BenchmarkList(b *testing.B) {
+	e := fullCell(b)
+	for b.Loop() {
+		e.List()
+	}
+}
+
+// BenchmarkWaiting measures how long the list of waiting jobs of a full cell keeps the control thread.
+func BenchmarkWaiting(b *testing.B) {
+	e := fullCell(b)
+	for b.Loop() {
+		e.Waiting()
+	}
+}
