Say which teams of a sheet the configuration does not name

Ruled out: refusing the sheet. A new team may come with the sheet before the configuration follows, and one wrong word must not hold up the whole morning.

Change: `plan` and `status` name such teams once a configuration with teams is in force.

Conclusion: the mistake is seen by those who look at either.

--- a/controld/internal/cell/sheet.go
+++ b/controld/internal/cell/sheet.go
@@ -22,6 +22,8 @@
 	AlreadyRun []string `json:"already_run"`
 	// Resume lists rows that return; what has not finished of them goes on.
 	Resume []string `json:"resume"`
+	// UnknownTeams lists teams of the sheet that the configuration does not name.
+	UnknownTeams []string `json:"unknown_teams"`
 	// StoppedTasks counts the active tasks that would stop.
 	StoppedTasks int `json:"stopped_tasks"`
 	// ActiveTasks counts all tasks that may be running now.
@@ -35,11 +37,13 @@
 
 // Preview compares a sheet with what is in force.
 func (c *Cell) Preview(specs []*wire.JobSpec) *Preview {
-	p := &Preview{Start: []string{}, Change: []string{}, Stop: []string{}, AlreadyRun: []string{}, Resume: []string{}}
+	p := &Preview{Start: []string{}, Change: []string{}, Stop: []string{}, AlreadyRun: []string{}, Resume: []string{}, UnknownTeams: []string{}}
+	teams := map[string]bool{}
 	listed := make(map[string]bool, len(specs))
 	for _, spec := range specs {
 		id := job.ID(spec)
 		listed[id] = true
+		teams[spec.GetTeam()] = true
 		j := c.jobs[id]
 		switch {
 		case j == nil && c.ranBefore(id):
@@ -67,9 +71,20 @@
 		}
 	}
 	sort.Strings(p.Stop)
+	for team := range teams {
+		if c.UnknownTeam(team) {
+			p.UnknownTeams = append(p.UnknownTeams, team)
+		}
+	}
+	sort.Strings(p.UnknownTeams)
 	return p
 }
 
+// UnknownTeam reports whether a configuration is in force and does not name a team. Jobs of such a team have no quota.
+func (c *Cell) UnknownTeam(name string) bool {
+	return len(c.config.GetTeams()) > 0 && c.Team(name) == nil
+}
+
 // surplus counts the active tasks that a changed row no longer asks for.
 func surplus(j *job.Job, spec *wire.JobSpec) int {
 	count := 0
--- a/controld/internal/cell/sheet_test.go
+++ b/controld/internal/cell/sheet_test.go
@@ -313,3 +313,12 @@
 	d.accept(3, 0, run, other)
 	require.NotEqual(t, "WAITING", d.state("settle@dec/1"))
 }
+
+// TestUnknownTeams guards against a misspelt team, whose jobs would run without a quota.
+func TestUnknownTeams(t *testing.T) {
+	d := newDesk(t)
+	rows := []string{row("a", "batch", 1, "", "x"), row("b", "batch", 1, "", "x")}
+	require.Empty(t, d.preview(rows...).UnknownTeams, "before there is a configuration no team is known")
+	require.Empty(t, d.cell.Apply(configure("config", 0, "other")).GetReason())
+	require.Equal(t, []string{"team"}, d.preview(rows...).UnknownTeams)
+}
--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -46,6 +46,8 @@
 	add(e.workersIn("lost"), "Worker %s is lost: its lease ran out.", "workers are lost, their leases ran out: %s.")
 	add(e.workersIn("held"), "Worker %s is set aside because tasks fail there.", "workers are set aside because tasks fail there: %s.")
 	add(e.servicesWithoutTarget(), "Service %s has no target: its callers are refused.", "services have no target, their callers are refused: %s.")
+	add(e.unknownTeams(), "Team %s is in the sheet and not in the configuration: its jobs have no quota.",
+		"teams are in the sheet and not in the configuration, their jobs have no quota: %s.")
 	never, held, failed := e.troubledJobs()
 	add(never, "Job %[1]s can never run; flamingoctl why %[1]s says why.", "jobs can never run: %s.")
 	add(held, "Job %s is held because its tasks failed on several workers.", "jobs are held because their tasks failed on several workers: %s.")
@@ -98,6 +100,23 @@
 	return names
 }
 
+func (e *Explainer) unknownTeams() []string {
+	teams := map[string]bool{}
+	for _, j := range e.Cell.Jobs() {
+		if !j.Removed() {
+			teams[j.Spec().GetTeam()] = true
+		}
+	}
+	var names []string
+	for team := range teams {
+		if e.Cell.UnknownTeam(team) {
+			names = append(names, team)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // troubledJobs returns the jobs that can never run, that are held, and that have tasks that failed for good.
 func (e *Explainer) troubledJobs() (never, held, failed []string) {
 	for _, j := range e.jobs() {
--- a/flamingoctl/internal/printer/texts.go
+++ b/flamingoctl/internal/printer/texts.go
@@ -48,17 +48,24 @@
 			_, _ = fmt.Fprintf(out, "  %s: nothing\n", line.text)
 			continue
 		}
-		var names []string
-		for _, id := range ids[:min(len(ids), shownIDs)] {
-			names = append(names, fmt.Sprint(id))
-		}
-		if len(ids) > shownIDs {
-			names = append(names, fmt.Sprintf("and %d more", len(ids)-shownIDs))
-		}
-		_, _ = fmt.Fprintf(out, "  %s: %s\n", line.text, strings.Join(names, ", "))
+		_, _ = fmt.Fprintf(out, "  %s: %s\n", line.text, shown(ids))
 	}
 	_, _ = fmt.Fprintf(out, "It stops %v of %v active tasks.\n", answer["stopped_tasks"], answer["active_tasks"])
 	if answer["needs_confirmation"] == true {
 		_, _ = fmt.Fprintf(out, "That is more than 20%%: check the export, then apply with --confirm-stops %v.\n", answer["stopped_tasks"])
 	}
+	if teams, _ := answer["unknown_teams"].([]any); len(teams) > 0 {
+		_, _ = fmt.Fprintf(out, "The configuration does not name these teams, so their jobs have no quota: %s.\n", shown(teams))
+	}
+}
+
+func shown(ids []any) string {
+	var names []string
+	for _, id := range ids[:min(len(ids), shownIDs)] {
+		names = append(names, fmt.Sprint(id))
+	}
+	if len(ids) > shownIDs {
+		names = append(names, fmt.Sprintf("and %d more", len(ids)-shownIDs))
+	}
+	return strings.Join(names, ", ")
 }
