--- a/core/loader/loader_test.go
+++ b/core/loader/loader_test.go
@@ -72,3 +72,15 @@
 	require.NoError(t, os.WriteFile(large, make([]byte, 2<<20), 0o600))
 	require.ErrorContains(t, loader.Load(large, &example{}), "larger than 1048576 bytes")
 }
+
+// FuzzParse guards against panics.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"token": "` + secret + `", "beat_ms": 1}`))
+	f.Add([]byte(`{"token": ` + secret + `}`))
+	f.Add([]byte(`{"token": ["` + secret + `"], "parts": [{}, null], "nested": 1e9}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if err := loader.Parse("file", data, &example{}); err != nil {
+			require.NotEmpty(t, err.Error())
+		}
+	})
+}
