--- a/Makefile
+++ b/Makefile
@@ -24,15 +24,15 @@
 	@out=$$(gofmt -l $(MODULES) | grep -v '\.pb\.go$$'); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint:
-	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; done
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run --config ../.golangci.yml ./...) || exit 1; done
 
 # The programs are linked to the C library, as the platform expects.
 linked: build
 	@for p in controld entryd; do ldd build/$$p | grep -q libc.so || { echo "$$p is not linked to the C library"; exit 1; }; done
 
+# The tests of standin run the built programs, which the test cache does not see.
 unit: build
 	@go test $(foreach m,$(filter-out standin,$(MODULES)),./$(m)/...)
-	@# The scenarios run the built programs, which the test cache does not know.
 	@go test -count=1 ./standin/...
 
 # Needs protoc and protoc-gen-go; only for changes of messages.
--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -30,7 +31,7 @@
 	if s.ControlVoters < e.Voters {
 		problems = append(problems, fmt.Sprintf("Control voters are missing, %d of %d: replace the lost hosts.", e.Voters-s.ControlVoters, e.Voters))
 	}
-	add(e.Silent, "Control member %s is silent.", "control members are silent: %s.")
+	add(e.silentControls(), "Control member %s is silent.", "control members are silent: %s.")
 	var silent []string
 	for _, entry := range e.Tally.SilentEntries() {
 		silent = append(silent, entry.Name)
@@ -45,6 +46,8 @@
 	add(e.workersIn("lost"), "Worker %s is lost: its lease ran out.", "workers are lost, their leases ran out: %s.")
 	add(e.workersIn("held"), "Worker %s is set aside because tasks fail there.", "workers are set aside because tasks fail there: %s.")
 	add(e.servicesWithoutTarget(), "Service %s has no target: its callers are refused.", "services have no target, their callers are refused: %s.")
+	add(e.unknownTeams(), "Team %s is in the sheet and not in the configuration: its jobs have no quota.",
+		"teams are in the sheet and not in the configuration, their jobs have no quota: %s.")
 	never, held, failed := e.troubledJobs()
 	add(never, "Job %[1]s can never run; flamingoctl why %[1]s says why.", "jobs can never run: %s.")
 	add(held, "Job %s is held because its tasks failed on several workers.", "jobs are held because their tasks failed on several workers: %s.")
@@ -55,6 +58,16 @@
 	return problems
 }
 
+func (e *Explainer) silentControls() []string {
+	var names []string
+	for _, m := range e.Membership.GetMembers() {
+		if slices.Contains(e.Silent, m.GetId()) {
+			names = append(names, m.GetName())
+		}
+	}
+	return names
+}
+
 func someOf(names []string) string {
 	if len(names) <= shownNames {
 		return strings.Join(names, ", ")
@@ -87,6 +100,23 @@
 	return names
 }
 
+func (e *Explainer) unknownTeams() []string {
+	teams := map[string]bool{}
+	for _, j := range e.Cell.Jobs() {
+		if !j.Removed() {
+			teams[j.Spec().GetTeam()] = true
+		}
+	}
+	var names []string
+	for team := range teams {
+		if e.Cell.UnknownTeam(team) {
+			names = append(names, team)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // troubledJobs returns the jobs that can never run, that are held, and that have tasks that failed for good.
 func (e *Explainer) troubledJobs() (never, held, failed []string) {
 	for _, j := range e.jobs() {
