Hand over on a planned stop or a full disk; stop removed nodes

Change: a stopping leader and a leader below the disk reserve hand over, the latter only to a voter with space. A member that hears from no leader for twice the election timeout asks its peers; the leader answers a removed id with "removed", and the node logs FD2008 and stops with ErrRemoved. The control thread's tests run several nodes with real data folders in simulated time; for this the clock and the messenger became small interfaces of the controller's configuration.

The pause after a full disk was not covered at first; TestFollowerWithFullDiskIsNotBusy covers it now.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -17,10 +17,8 @@
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
 	"flamingodrift.example/controld/internal/store"
-	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/logger"
-	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/replicator"
@@ -32,8 +30,8 @@
 	queueLength  = 1024
 	// maxTurnEvents bounds the events that one turn of the loop handles before it syncs.
 	maxTurnEvents = 256
-	// snapshotEveryBytes is the journal size that triggers a snapshot.
-	snapshotEveryBytes = 4 << 20
+	// defaultSnapshotBytes is the journal size that triggers a snapshot.
+	defaultSnapshotBytes = 4 << 20
 	// keptEntries stay in memory before a snapshot, so that a follower that lags a little needs no snapshot.
 	keptEntries = 500
 	// diskReserve is the free space below which changes are refused, so that leases and placements can go on.
@@ -48,18 +46,37 @@
 	// Peers are the addresses of all controld processes of the cell.
 	Peers []string
 	// Voters is how many voters the group should have.
-	Voters      int
-	Store       *store.Store
-	Contents    *store.Contents
-	Clock       clock.Clock
-	Messenger   *messenger.Messenger
-	Logger      *slog.Logger
-	Meter       *meter.Meter
-	Heartbeat   time.Duration
-	ElectionMin time.Duration
-	ElectionMax time.Duration
-	Registrar   registrar.Config
-	Planner     planner.Config
+	Voters   int
+	Store    *store.Store
+	Contents *store.Contents
+	// FreeBytes returns the space left for the data folder; nil asks the store.
+	FreeBytes func() (int64, error)
+	// SnapshotBytes is the journal size that triggers a snapshot; 0 is 4 MiB.
+	SnapshotBytes int64
+	Clock         Clock
+	Messenger     Messenger
+	Logger        *slog.Logger
+	Meter         *meter.Meter
+	Heartbeat     time.Duration
+	ElectionMin   time.Duration
+	ElectionMax   time.Duration
+	// Rand spreads the election timeouts; nil makes a random one.
+	Rand      *rand.Rand
+	Registrar registrar.Config
+	Planner   planner.Config
+}
+
+// Clock is monotonic time that also counts while the process is stopped.
+type Clock interface {
+	Now() time.Duration
+}
+
+// Messenger reaches the other nodes.
+type Messenger interface {
+	// Call sends a request and waits for its reply.
+	Call(ctx context.Context, address string, request *wire.Request) (*wire.Reply, error)
+	// Cast sends a request without a reply; it may be lost.
+	Cast(address string, request *wire.Request)
 }
 
 // Controller owns the control state of a node. Its exported methods may be called from any thread.
@@ -88,8 +105,17 @@
 	diskFull    bool
 	diskChecked time.Duration
 	blockedTill time.Duration
+	// lastSnapshot is the index of the newest snapshot that the journal follows.
+	lastSnapshot    uint64
+	snapshotRetryAt time.Duration
+	removed         bool
+	// stopBy is when a planned stop ends even without a successor; 0 when no stop is planned.
+	stopBy     time.Duration
+	handedOver bool
 
 	status atomic.Pointer[Status]
+	// async runs a call that blocks, beside the control thread.
+	async func(call func())
 }
 
 // Status is a copy of the node's state for health answers.
@@ -109,9 +135,19 @@
 
 // New returns a Controller that has not started.
 func New(cfg Config) (*Controller, error) {
+	if cfg.FreeBytes == nil {
+		cfg.FreeBytes = cfg.Store.FreeBytes
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if cfg.SnapshotBytes == 0 {
+		cfg.SnapshotBytes = defaultSnapshotBytes
+	}
 	c := &Controller{
 		cfg: cfg, queue: make(chan event, queueLength), waiters: map[uint64]waiter{},
 		addressBook: map[string]string{}, cell: cell.New(),
+		async: func(call func()) { go call() },
 	}
 	c.status.Store(&Status{Role: "follower"})
 	if cfg.Contents.State != nil {
@@ -121,6 +157,7 @@
 		}
 		c.cell = restored
 		c.applied = cfg.Contents.Restored.Snapshot.GetIndex()
+		c.lastSnapshot = c.applied
 	}
 	c.repl = c.newReplicator(cfg.Contents.Restored, cfg.Clock.Now())
 	return c, nil
@@ -130,20 +167,22 @@
 	return replicator.New(replicator.Config{
 		ID: c.cfg.Store.NodeID(), Heartbeat: c.cfg.Heartbeat, ElectionMin: c.cfg.ElectionMin,
 		ElectionMax: c.cfg.ElectionMax, DriftPercent: c.cfg.Registrar.DriftPercent,
-		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand:      c.cfg.Rand,
 		Snapshots: c.cfg.Store,
 	}, restored, now)
 }
 
-// Run owns the control state until the context ends. An error means that the node must stop.
+// Run owns the control state until the context ends; a leader then hands over first, which takes ElectionMax at most. An
+// error means that the node must stop: ErrRemoved, a *journal.DamageError, or a write that failed.
 func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	defer c.failWaiters()
+	stop := ctx.Done()
 	for {
 		select {
-		case <-ctx.Done():
-			return nil
+		case <-stop:
+			stop = nil
 		case e := <-c.queue:
 			c.handle(e, c.cfg.Clock.Now())
 			c.handleQueued()
@@ -152,6 +191,9 @@
 		if err := c.turn(c.cfg.Clock.Now()); err != nil {
 			return err
 		}
+		if ctx.Err() != nil && c.mayStop(c.cfg.Clock.Now()) {
+			return nil
+		}
 	}
 }
 
@@ -172,17 +214,19 @@
 	c.checkDisk(now)
 	c.repl.Tick(now)
 	c.checkLeadership(now)
-	if c.leads {
-		c.lead(now)
-	} else {
+	switch {
+	case !c.leads:
 		c.seekMembership(now)
+	case !c.repl.HandingOver():
+		c.lead(now)
+		c.giveWay(now)
 	}
 	if err := c.pump(); err != nil {
 		return err
 	}
 	c.checkLeadership(c.cfg.Clock.Now())
 	c.publish()
-	return nil
+	return c.checkRemoved()
 }
 
 func (c *Controller) pump() error {
@@ -218,6 +262,8 @@
 			return err
 		}
 		c.cell, c.applied = restored, ready.Install.GetMeta().GetIndex()
+		c.lastSnapshot = c.applied
+		c.failWaiters()
 		logger.SnapshotInstalled.Log(c.cfg.Logger, "index", c.applied)
 	}
 	if len(ready.Records) == 0 {
@@ -226,40 +272,6 @@
 	return c.cfg.Store.Append(ready.Records)
 }
 
-// reopen forgets what could not be written, by starting again from what is on the disk.
-func (c *Controller) reopen() error {
-	now := c.cfg.Clock.Now()
-	logger.DiskFull.Log(c.cfg.Logger)
-	c.diskFull = true
-	c.blockedTill = now + diskFullBackoff
-	contents, err := c.cfg.Store.Reload()
-	if err != nil {
-		return err
-	}
-	restored := contents.Restored
-	if restored.Snapshot.GetIndex() > c.applied {
-		return fmt.Errorf("snapshot at %d is newer than the applied index %d", restored.Snapshot.GetIndex(), c.applied)
-	}
-	c.stopLeading()
-	c.repl = c.newReplicator(restored, now)
-	c.repl.SkipApplied(c.applied)
-	c.failWaiters()
-	return nil
-}
-
-func (c *Controller) checkDisk(now time.Duration) {
-	if now-c.diskChecked < diskCheckInterval {
-		return
-	}
-	c.diskChecked = now
-	free, err := c.cfg.Store.FreeBytes()
-	full := err == nil && free < diskReserve
-	if full && !c.diskFull {
-		logger.DiskFull.Log(c.cfg.Logger, "free_bytes", free)
-	}
-	c.diskFull = full
-}
-
 func (c *Controller) applyAll(entries []*wire.Entry) error {
 	for _, entry := range entries {
 		if entry.GetIndex() <= c.applied {
@@ -304,6 +316,16 @@
 	}
 }
 
+// failUncommitted answers the proposals that are not known to be committed; the others are answered when applied.
+func (c *Controller) failUncommitted() {
+	for index, w := range c.waiters {
+		if index > c.repl.Commit() {
+			delete(c.waiters, index)
+			w.done(lostLeadership())
+		}
+	}
+}
+
 func (c *Controller) failWaiters() {
 	for index, w := range c.waiters {
 		delete(c.waiters, index)
@@ -327,39 +349,6 @@
 	c.waiters[index] = waiter{term: term, done: done}
 }
 
-func (c *Controller) snapshotIfDue() error {
-	if c.cfg.Store.JournalBytes() < snapshotEveryBytes || c.applied == 0 {
-		return nil
-	}
-	term, ok := c.repl.TermAt(c.applied)
-	if !ok {
-		return nil
-	}
-	state, err := c.cell.Snapshot()
-	if err != nil {
-		return err
-	}
-	meta := &wire.SnapshotMeta{Index: c.applied, Term: term, Membership: c.repl.MembershipAt(c.applied)}
-	err = c.cfg.Store.SaveSnapshot(&wire.Snapshot{Meta: meta, State: state})
-	if err == nil {
-		err = c.cfg.Store.ReplaceJournal(meta, c.repl.HardState(), c.repl.Entries(c.applied+1))
-	}
-	if errors.Is(err, journal.ErrDiskFull) {
-		c.diskFull = true
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	keepFrom := uint64(0)
-	if c.applied > keptEntries {
-		keepFrom = c.applied - keptEntries
-	}
-	c.repl.Compact(meta, keepFrom)
-	logger.SnapshotStored.Log(c.cfg.Logger, "index", meta.GetIndex(), "bytes", len(state))
-	return nil
-}
-
 // Status returns a copy of the node's state.
 func (c *Controller) Status() *Status { return c.status.Load() }
 
--- a/controld/internal/controller/event.go
+++ b/controld/internal/controller/event.go
@@ -18,7 +18,7 @@
 	reply  func(*wire.Reply)
 }
 
-type joinedEvent struct{ membership *wire.Membership }
+type joinedEvent struct{ reply *wire.JoinReply }
 
 type reportsEvent struct {
 	reports *wire.WorkerReports
@@ -70,7 +70,8 @@
 	case joinEvent:
 		c.whileLeading(now, e.reply, func() { c.handleJoin(e, now) })
 	case joinedEvent:
-		c.learnAddresses(e.membership)
+		c.removed = c.removed || e.reply.GetRemoved()
+		c.learnAddresses(e.reply.GetMembership())
 	case reportsEvent:
 		c.whileLeading(now, e.reply, func() { c.handleReports(e, now) })
 	case beatEvent:
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -18,7 +18,7 @@
 	switch {
 	case c.leads && (!c.repl.IsLeader() || c.repl.Term() != c.leadingTerm):
 		c.stopLeading()
-		c.failWaiters()
+		c.failUncommitted()
 	case !c.leads && lease && c.applied >= c.repl.Commit():
 		c.startLeading(now)
 	}
--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -61,9 +61,13 @@
 	}
 }
 
-// seekMembership asks the peers in turn for admission while this node is no member.
+// seekMembership asks the peers in turn for admission while this node is no member. A member that hears from no leader
+// asks, too: it may have been removed, and the others do not send to it then.
 func (c *Controller) seekMembership(now time.Duration) {
-	if c.isMember() || now-c.lastJoin < joinInterval || len(c.cfg.Peers) == 0 {
+	if now-c.lastJoin < joinInterval || len(c.cfg.Peers) == 0 {
+		return
+	}
+	if c.isMember() && c.repl.Silence(now) < 2*c.cfg.ElectionMax {
 		return
 	}
 	c.lastJoin = now
@@ -71,7 +75,7 @@
 	c.joinAt++
 	member := proto.Clone(c.cfg.Member).(*wire.Member)
 	member.Id = c.repl.ID()
-	go c.requestJoin(address, member)
+	c.async(func() { c.requestJoin(address, member) })
 }
 
 func (c *Controller) requestJoin(address string, member *wire.Member) {
@@ -95,7 +99,7 @@
 	}
 	if joined := reply.GetJoin(); joined != nil {
 		select {
-		case c.queue <- joinedEvent{joined.GetMembership()}:
+		case c.queue <- joinedEvent{joined}:
 		default:
 		}
 	}
@@ -103,6 +107,10 @@
 
 // handleJoin adds a node as a non-voter. It becomes a voter later, once it has caught up.
 func (c *Controller) handleJoin(e joinEvent, now time.Duration) {
+	if c.repl.Removed(e.member.GetId()) {
+		e.reply(&wire.Reply{Body: &wire.Reply_Join{Join: &wire.JoinReply{Removed: true}}})
+		return
+	}
 	accepted := &wire.Reply{Body: &wire.Reply_Join{Join: &wire.JoinReply{Membership: c.repl.Membership()}}}
 	if c.findMember(e.member.GetId()) != nil {
 		e.reply(accepted)
@@ -149,7 +157,7 @@
 		}
 	}
 	for i, m := range members {
-		if m.GetVoter() || !c.caughtUp(m.GetId()) {
+		if m.GetVoter() || !c.caughtUp(m.GetId(), now) {
 			continue
 		}
 		if old := olderHolder(members[:i], m.GetName()); old != nil {
@@ -163,9 +171,10 @@
 	}
 }
 
-func (c *Controller) caughtUp(id string) bool {
-	match, _, acked := c.repl.MatchIndex(id)
-	return acked && match > 0 && match+promoteLag >= c.repl.LastIndex()
+// caughtUp reports whether a member has nearly all of the log and answered within the election timeout.
+func (c *Controller) caughtUp(id string, now time.Duration) bool {
+	match, ackedSend, acked := c.repl.MatchIndex(id)
+	return acked && now-ackedSend < c.cfg.ElectionMin && match > 0 && match+promoteLag >= c.repl.LastIndex()
 }
 
 func olderHolder(members []*wire.Member, name string) *wire.Member {
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -229,6 +229,14 @@
 // IsLeader reports whether this node leads in its own view; Lease says whether it may decide.
 func (r *Replicator) IsLeader() bool { return r.role == leader }
 
+// Silence returns how long this node has not heard from a leader, counted from its start at the earliest; 0 on a leader.
+func (r *Replicator) Silence(now time.Duration) time.Duration {
+	if r.role == leader {
+		return 0
+	}
+	return now - r.lastHeard
+}
+
 // MatchIndex returns how far a member's log is known to agree, and when it last answered. It is meaningful on a leader.
 func (r *Replicator) MatchIndex(id string) (match uint64, ackedSend time.Duration, acked bool) {
 	p := r.peers[id]
