--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -121,7 +121,7 @@
 	}
 	entries := r.log.batch(p.next)
 	if len(entries) > 0 {
-		p.inFlight, p.sentAt = true, now
+		p.inFlight, p.sentAt, p.sentTo = true, now, entries[len(entries)-1].GetIndex()
 	}
 	r.sendAppend(now, id, p, entries)
 }
@@ -209,8 +209,9 @@
 		p.match = reply.GetMatchIndex()
 		r.advanceCommit(now)
 	}
-	if p.match+1 >= p.next {
-		p.next = p.match + 1
+	p.next = max(p.next, p.match+1)
+	if p.match >= p.sentTo {
+		// An answer to an earlier heartbeat says nothing about the entries in flight.
 		p.inFlight = false
 	}
 	if r.role == leader && !p.inFlight && p.next <= r.log.lastIndex() {
--- a/core/replicator/lease_test.go
+++ b/core/replicator/lease_test.go
@@ -136,3 +136,17 @@
 		require.Equal(t, step.commit, r.Commit())
 	}
 }
+
+// An answer to a heartbeat that was sent before the newest entry must not make the leader send that entry again.
+func TestEntryInFlightIsNotSentAgain(t *testing.T) {
+	r, now := newLeader(t)
+	r.Step(now, appendReply(now))
+	r.Ready()
+	_, _, err := r.Propose(now, []byte("x"))
+	require.NoError(t, err)
+	require.NotEmpty(t, r.Ready().Messages)
+	r.Step(now, appendReply(now))
+	for _, msg := range r.Ready().Messages {
+		require.Empty(t, msg.GetAppendRequest().GetEntries())
+	}
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -102,6 +102,8 @@
 	next, match uint64
 	inFlight    bool
 	sentAt      time.Duration
+	// sentTo is the index of the last entry in flight.
+	sentTo uint64
 	// ackedSend is the leader's clock when it sent the newest message that this member answered.
 	ackedSend      time.Duration
 	acked          bool
--- a/core/replicator/snapshot.go
+++ b/core/replicator/snapshot.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,7 +21,8 @@
 		r.sendAppend(now, id, p, nil)
 		return
 	}
-	p.inFlight, p.sentAt = true, now
+	// Only an acknowledgement of the chunk ends its flight, not an answer to a heartbeat.
+	p.inFlight, p.sentAt, p.sentTo = true, now, math.MaxUint64
 	r.send(&wire.PeerMessage{To: id, Body: &wire.PeerMessage_SnapshotChunk{SnapshotChunk: &wire.SnapshotChunk{
 		Meta: meta, Offset: p.snapshotOffset, Data: data, Last: last, SentAtNs: int64(now),
 	}}})
