--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -102,6 +102,8 @@
 	next, match uint64
 	inFlight    bool
 	sentAt      time.Duration
+	// sentTo is the index of the last entry in flight.
+	sentTo uint64
 	// ackedSend is the leader's clock when it sent the newest message that this member answered.
 	ackedSend      time.Duration
 	acked          bool
@@ -229,6 +231,14 @@
 // IsLeader reports whether this node leads in its own view; Lease says whether it may decide.
 func (r *Replicator) IsLeader() bool { return r.role == leader }
 
+// Silence returns how long this node has not heard from a leader, counted from its start at the earliest; 0 on a leader.
+func (r *Replicator) Silence(now time.Duration) time.Duration {
+	if r.role == leader {
+		return 0
+	}
+	return now - r.lastHeard
+}
+
 // MatchIndex returns how far a member's log is known to agree, and when it last answered. It is meaningful on a leader.
 func (r *Replicator) MatchIndex(id string) (match uint64, ackedSend time.Duration, acked bool) {
 	p := r.peers[id]
