--- a/controld/internal/cell/cell.go
+++ b/controld/internal/cell/cell.go
@@ -296,6 +296,7 @@
 	}
 	c.nextAttempt = attempt
 	t.Job().Place(t, w.Name(), attempt, need, now)
+	c.index.addActive(t)
 	c.use(t.Job(), need)
 	c.touch(t.Job())
 }
@@ -404,6 +405,7 @@
 
 func (c *Cell) end(t *job.Task, w *worker.Worker, end job.End, now int64) {
 	j := t.Job()
+	c.index.dropActive(t)
 	w.Release(t.ID(), t.Placed())
 	switch {
 	case end.Phase == wire.TaskPhase_TASK_PHASE_FAILED && !t.Stopping() && !j.Held():
--- a/controld/internal/cell/index.go
+++ b/controld/internal/cell/index.go
@@ -50,6 +50,8 @@
 	suspects    map[string]*worker.Worker
 	quarantined map[string]*worker.Worker
 	teams       map[string]*wire.Team
+	// active holds the tasks that may run on each worker, the earliest attempt first.
+	active map[string][]*job.Task
 }
 
 // shape is what the planner's copy of a worker depends on besides its free room.
@@ -64,6 +66,7 @@
 		shapes: map[string]shape{}, places: map[*job.Job]place{}, byKey: map[string][]*job.Job{},
 		outdated: map[string]*job.Job{}, failing: map[string]*job.Job{}, draining: map[string]*worker.Worker{},
 		suspects: map[string]*worker.Worker{}, quarantined: map[string]*worker.Worker{}, teams: map[string]*wire.Team{},
+		active: map[string][]*job.Task{},
 	}
 	for i := range ix.queue {
 		ix.queue[i] = map[string][]*job.Job{}
@@ -158,6 +161,23 @@
 	keep(ix.quarantined, w.Name(), w, w.Held() || w.Probing())
 }
 
+// addActive files a task under its worker. Attempts count up, so a new one is the last.
+func (ix *index) addActive(t *job.Task) {
+	list := ix.active[t.Worker()]
+	at, _ := slices.BinarySearchFunc(list, t.Attempt(), byAttempt)
+	ix.active[t.Worker()] = slices.Insert(list, at, t)
+}
+
+// dropActive removes a task from its worker; it must be called before the task forgets the worker.
+func (ix *index) dropActive(t *job.Task) {
+	list := ix.active[t.Worker()]
+	if at, found := slices.BinarySearchFunc(list, t.Attempt(), byAttempt); found {
+		ix.active[t.Worker()] = slices.Delete(list, at, at+1)
+	}
+}
+
+func byAttempt(t *job.Task, attempt uint64) int { return cmp.Compare(t.Attempt(), attempt) }
+
 // sorted returns the members of a set in order of name, so that decisions do not depend on the order of a map.
 func sorted[T any](set map[string]T) []T {
 	names := make([]string, 0, len(set))
@@ -178,6 +198,9 @@
 // WorkerSet counts changes to the set of workers, their size, place and whether they take tasks.
 func (c *Cell) WorkerSet() uint64 { return c.index.workerSet }
 
+// TasksOn returns the tasks that may run on a worker, the earliest attempt first. The slice must not be changed.
+func (c *Cell) TasksOn(worker string) []*job.Task { return c.index.active[worker] }
+
 // Queue returns the waiting jobs of a level by team, each list in order of arrival. It must not be changed.
 func (c *Cell) Queue(level int) map[string][]*job.Job { return c.index.queue[level] }
 
--- a/controld/internal/cell/snapshot.go
+++ b/controld/internal/cell/snapshot.go
@@ -77,6 +77,7 @@
 		if !t.Active() {
 			continue
 		}
+		c.index.addActive(t)
 		if w := c.workers[t.Worker()]; w != nil {
 			w.Adopt(t.ID(), t.Attempt(), t.Placed())
 			c.index.noteWorker(w)
--- a/controld/internal/planner/group.go
+++ b/controld/internal/planner/group.go
@@ -22,13 +22,13 @@
 		}
 		return
 	}
-	if x.urgent() && (why == reason.WaitsForAll || why == reason.BehindOthers) && r.preempt(x, x.left(), outranked) {
+	if x.urgent() && !r.p.cfg.NoPreemption && (why == reason.WaitsForAll || why == reason.BehindOthers) && r.preempt(x, x.left(), outranked) {
 		why = reason.StopInProgress
 	}
 	if own {
 		r.keep(res, 1)
 	}
-	if why == reason.WaitsForAll && r.p.reservation == nil && r.now-x.note.first >= r.profile.reserveAfter {
+	if why == reason.WaitsForAll && r.p.reservation == nil && !r.p.cfg.NoReservation && r.now-x.note.first >= r.profile.reserveAfter {
 		r.reserve(x)
 	}
 	r.wait(x, why, resource.Vector{}, subject)
--- a/controld/internal/planner/place.go
+++ b/controld/internal/planner/place.go
@@ -67,27 +67,13 @@
 		return -1, reason.QuotaReached, x.team.name
 	case t.Lost() && r.p.tokens < 1:
 		return -1, reason.RecoveryRateLimited, ""
-	case r.atHeadroom(x, x.need) && r.hasRoom(x.need):
-		return -1, reason.BehindOthers, "urgent work"
 	}
 	return r.find(x, t)
 }
 
-// atHeadroom reports whether a non-urgent run would take room that is kept for urgent work.
-func (r *round) atHeadroom(x *candidate, need resource.Vector) bool {
-	if x.urgent() || x.kind == wire.JobKind_JOB_KIND_SERVICE || r.profile.headroom == 0 {
-		return false
-	}
-	left := r.w.free.Sub(need)
-	// Once a run has met the limit, smaller ones after it must not take the room that it waits for.
-	r.headroomMet = r.headroomMet || float64(left.CPU()) < r.profile.headroom*float64(r.w.capacity.CPU()) ||
-		float64(left.Memory()) < r.profile.headroom*float64(r.w.capacity.Memory())
-	return r.headroomMet
-}
-
 // knownFull reports whether an equal or smaller task found no room in this round.
 func (r *round) knownFull(need resource.Vector) bool {
-	return slices.ContainsFunc(r.full, func(v resource.Vector) bool { return v.FitsIn(need) })
+	return !need.FitsIn(r.w.roomiest) || slices.ContainsFunc(r.full, func(v resource.Vector) bool { return v.FitsIn(need) })
 }
 
 func (r *round) hasRoom(need resource.Vector) bool {
@@ -102,6 +88,7 @@
 }
 
 func (r *round) noteFull(need resource.Vector) {
+	r.full = slices.DeleteFunc(r.full, func(v resource.Vector) bool { return need.FitsIn(v) })
 	if len(r.full) < maxFull {
 		r.full = append(r.full, need)
 	}
@@ -116,8 +103,10 @@
 		x.spread = r.countSpread(x)
 	}
 	s := search{r: r, x: x, t: t, best: -1, backfills: r.mayUseReserved(x)}
-	for i := range r.w.slots {
-		s.consider(i)
+	for i := range r.w.rooms {
+		if x.need.FitsIn(r.w.rooms[i]) {
+			s.consider(i)
+		}
 	}
 	switch {
 	case s.best >= 0:
@@ -158,9 +147,6 @@
 
 func (s *search) consider(i int) {
 	slot, need := &s.r.w.slots[i], s.x.need
-	if !need.FitsIn(slot.free) {
-		return
-	}
 	if slot.w.Probing() && !mayProbe(s.x, slot) {
 		s.sawProbing = true
 		return
@@ -204,6 +190,10 @@
 	if s.x.need.Accelerators() == 0 && left.Accelerators() > 0 {
 		score += 8
 	}
+	// Reserved room is the last resort, also for work that may use it.
+	if !s.x.need.FitsIn(slot.free.Sub(slot.keptUrgent).Sub(slot.keptGroup)) {
+		score += 16
+	}
 	if s.x.spread != nil {
 		score += s.x.spread.crowding(slot, at)
 	}
@@ -216,7 +206,7 @@
 // block notes why a job waits, after an attempt to make room for urgent work.
 func (r *round) block(x *candidate, why reason.Reason, subject string) {
 	makesRoom := why == reason.NoCapacity || why == reason.BehindOthers || why == reason.SpreadUnsatisfied
-	if x.urgent() && makesRoom && r.preempt(x, x.left(), outranked) {
+	if x.urgent() && makesRoom && !r.p.cfg.NoPreemption && r.preempt(x, x.left(), outranked) {
 		why = reason.StopInProgress
 	}
 	if why == reason.NoCapacity && r.first[x.team.name] == nil {
--- a/controld/internal/planner/planner.go
+++ b/controld/internal/planner/planner.go
@@ -11,8 +11,18 @@
 	"flamingodrift.example/core/wire"
 )
 
-// Config holds the fixed parameters of a Planner.
-type Config struct{}
+// Config holds the fixed parameters of a Planner. The zero value is the product; each switch takes one rule out, so that a
+// measurement can show what the rule is worth.
+type Config struct {
+	// ArrivalOrder orders jobs of one level by arrival instead of weighted shares, with plain quotas as the only bound.
+	ArrivalOrder bool
+	// NoReservation keeps no room for all-at-once jobs.
+	NoReservation bool
+	// NoGiveBack stops nothing for a team below its fair share.
+	NoGiveBack bool
+	// NoPreemption stops nothing for urgent work.
+	NoPreemption bool
+}
 
 // Waiting says why a job's tasks wait.
 type Waiting struct {
@@ -26,6 +36,7 @@
 // Planner holds what the leader remembers between rounds. It is owned by the control thread of the leader; a new leader
 // starts with an empty one.
 type Planner struct {
+	cfg         Config
 	notes       map[string]*note
 	round       uint64
 	cell        *cell.Cell
@@ -36,16 +47,19 @@
 	workers     *workers
 	reservation *reservation
 	learner     *learner
+	stopsSeen   map[uint64]time.Duration
 	tokens      float64
+	givenBack   time.Duration
 	tokensAt    time.Duration
 	heldSince   map[string]time.Duration
 }
 
 // New returns a Planner.
-func New(Config) *Planner {
+func New(cfg Config) *Planner {
 	return &Planner{
+		cfg:   cfg,
 		notes: map[string]*note{}, learner: newLearner(), tokens: recoveryBurst,
-		heldSince: map[string]time.Duration{},
+		heldSince: map[string]time.Duration{}, stopsSeen: map[uint64]time.Duration{},
 	}
 }
 
--- a/controld/internal/planner/planner_test.go
+++ b/controld/internal/planner/planner_test.go
@@ -376,6 +376,18 @@
 	require.Equal(t, int64(5500), fat.Placed().Memory())
 }
 
+// Guards against urgent work that relies on a task whose stop hangs.
+func TestUrgentWorkDoesNotRelyOnAStopThatHangs(t *testing.T) {
+	f := newFixture(t, "packing")
+	f.workers(2)
+	f.add(row("low", 2, 8, low))
+	f.round(time.Second)
+	f.add(row("now", 1, 8, urgent))
+	require.Len(t, f.round(time.Second).GetStops(), 1)
+	require.Nil(t, f.round(2*time.Second))
+	require.Len(t, f.round(time.Second).GetStops(), 1, "the other task is stopped as well")
+}
+
 // Guards against an all-at-once job that waits for ever because its row grew while it ran.
 func TestGrownAllAtOnceJobStartsAgain(t *testing.T) {
 	f := newFixture(t, "packing")
--- a/controld/internal/planner/preempt.go
+++ b/controld/internal/planner/preempt.go
@@ -1,8 +1,8 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
 	"flamingodrift.example/controld/internal/cell"
 	"flamingodrift.example/controld/internal/job"
@@ -33,21 +33,34 @@
 		return
 	}
 	r.w.preempts = true
+	seen := r.p.stopsSeen
+	r.p.stopsSeen = map[uint64]time.Duration{}
 	for i := range r.w.slots {
 		s := &r.w.slots[i]
-		for id := range s.w.Tasks() {
-			t := r.c.Task(id)
+		// The least urgent goes first, and of those the latest: the least work is lost with it.
+		var normal []*job.Task
+		tasks := r.c.TasksOn(s.w.Name())
+		for n := len(tasks) - 1; n >= 0; n-- {
+			t := tasks[n]
 			switch {
-			case t.Stopping() || r.stopping[id]:
-				s.incoming = s.incoming.Add(t.Placed())
-			case preemptible(t):
+			case t.Stopping() || r.stopping[t.ID()]:
+				since, known := seen[t.Attempt()]
+				if !known {
+					since = r.now
+				}
+				r.p.stopsSeen[t.Attempt()] = since
+				// A stop that takes longer may take any time, so urgent work does not rely on it.
+				if r.now-since <= stopTimeout {
+					s.incoming = s.incoming.Add(t.Placed())
+				}
+			case !preemptible(t):
+			case urgencyOf(t) == 2:
 				s.victims = append(s.victims, t)
+			default:
+				normal = append(normal, t)
 			}
 		}
-		// The least urgent goes first, and of those the latest: the least work is lost with it.
-		slices.SortFunc(s.victims, func(a, b *job.Task) int {
-			return cmp.Or(cmp.Compare(urgencyOf(b), urgencyOf(a)), cmp.Compare(b.Attempt(), a.Attempt()))
-		})
+		s.victims = append(s.victims, normal...)
 	}
 }
 
@@ -133,6 +146,9 @@
 	if !x.urgent() {
 		room = room.Sub(s.keptGroup)
 	}
+	if s.keptGroup != (resource.Vector{}) {
+		cost++
+	}
 	for _, t := range s.victims {
 		if x.need.FitsIn(room) {
 			break
--- a/controld/internal/planner/profile.go
+++ b/controld/internal/planner/profile.go
@@ -6,8 +6,6 @@
 type profile struct {
 	// packed is true when a task goes to the worker with the least room left, false when to the one with the most.
 	packed bool
-	// headroom is the share of the usable capacity that non-urgent runs leave free.
-	headroom float64
 	// reserveAfter is how long an all-at-once job waits before room is reserved for it.
 	reserveAfter time.Duration
 	// backfillMax is the longest declared run that may use reserved room.
@@ -21,12 +19,12 @@
 // profiles maps Config.profile to its parameters. Unknown names get those of "waiting".
 var profiles = map[string]profile{
 	"waiting": {
-		packed: false, headroom: 0.02, reserveAfter: 30 * time.Second, backfillMax: 2 * time.Minute,
+		packed: false, reserveAfter: 30 * time.Second, backfillMax: 5 * time.Minute,
 		reclaimAfter: 5 * time.Minute, fairAfter: 30 * time.Second,
 	},
 	"packing": {
-		packed: true, headroom: 0, reserveAfter: time.Minute, backfillMax: 5 * time.Minute,
-		reclaimAfter: 15 * time.Minute, fairAfter: 2 * time.Minute,
+		packed: true, reserveAfter: time.Minute, backfillMax: 10 * time.Minute,
+		reclaimAfter: 10 * time.Minute, fairAfter: 2 * time.Minute,
 	},
 }
 
@@ -38,8 +36,8 @@
 }
 
 const (
-	// maxPlacements bounds one round, so that one log entry stays small.
-	maxPlacements = 1_000
+	// maxPlacements bounds one round, so that one log entry stays small and a round takes milliseconds.
+	maxPlacements = 300
 	// roundInterval bounds the processor time of rounds: at 10,000 waiting jobs one round costs milliseconds.
 	roundInterval = 100 * time.Millisecond
 	// wakeInterval is how often a round runs without a change in the cell, for decisions that depend on time alone.
@@ -48,6 +46,8 @@
 	maxPreemptions = 3
 	// maxRoundStops bounds how many tasks one round preempts.
 	maxRoundStops = 200
+	// stopTimeout is how long room is expected from a task that was asked to stop; a checkpoint and two polls fit in.
+	stopTimeout = 2 * time.Second
 	// recoveryRate and recoveryBurst bound the placements per second of tasks whose worker was lost, so that the loss of a
 	// failure domain does not start hundreds of tasks in one instant.
 	recoveryRate  = 100.0
--- a/controld/internal/planner/reservation.go
+++ b/controld/internal/planner/reservation.go
@@ -96,11 +96,8 @@
 
 // tasksOn returns the tasks of a worker, the latest attempt first.
 func (r *round) tasksOn(s *slot) []*job.Task {
-	tasks := make([]*job.Task, 0, len(s.w.Tasks()))
-	for id := range s.w.Tasks() {
-		tasks = append(tasks, r.c.Task(id))
-	}
-	slices.SortFunc(tasks, func(a, b *job.Task) int { return cmp.Compare(b.Attempt(), a.Attempt()) })
+	tasks := slices.Clone(r.c.TasksOn(s.w.Name()))
+	slices.Reverse(tasks)
 	return tasks
 }
 
@@ -164,8 +161,8 @@
 // servicesOn returns what tasks take that are not expected to end.
 func (r *round) servicesOn(s *slot) resource.Vector {
 	var sum resource.Vector
-	for id := range s.w.Tasks() {
-		if t := r.c.Task(id); t.Job().Spec().GetKind() == wire.JobKind_JOB_KIND_SERVICE {
+	for _, t := range r.c.TasksOn(s.w.Name()) {
+		if t.Job().Spec().GetKind() == wire.JobKind_JOB_KIND_SERVICE {
 			sum = sum.Add(t.Placed())
 		}
 	}
--- a/controld/internal/planner/round.go
+++ b/controld/internal/planner/round.go
@@ -28,8 +28,6 @@
 	full []resource.Vector
 	// groupsFull holds sizes and counts of all-at-once jobs that did not fit.
 	groupsFull []groupSize
-	// headroomMet is true once a run was kept out of the room for urgent work.
-	headroomMet bool
 	// doubtful holds jobs with a reason that later placements of the round may have made untrue.
 	doubtful []*candidate
 	// first is the first job of each team that found no room.
@@ -42,7 +40,7 @@
 }
 
 // maxFull bounds the search in full and groupsFull.
-const maxFull = 16
+const maxFull = 64
 
 // candidate is a waiting job whose tasks a round tries to place.
 type candidate struct {
@@ -83,6 +81,7 @@
 		return
 	}
 	r.stopping[t.ID()] = true
+	r.p.stopsSeen[t.Attempt()] = r.now
 	r.d.Stops = append(r.d.Stops, &wire.TaskStop{Task: t.ID(), Reason: why.String(), CheckpointFirst: checkpoint})
 }
 
--- a/controld/internal/planner/team.go
+++ b/controld/internal/planner/team.go
@@ -58,6 +58,16 @@
 	jobs []*job.Job
 	at   int
 	x    *candidate
+	// byArrival orders by arrival instead of shares.
+	byArrival bool
+}
+
+// key orders cursors: the team's weighted share, or the arrival of its next job.
+func (c *cursor) key() float64 {
+	if c.byArrival && c.at < len(c.jobs) {
+		return float64(c.jobs[c.at].Order())
+	}
+	return c.team.weighted()
 }
 
 // cursors is a heap: the team with the smallest weighted share is on top, and names break ties.
@@ -66,7 +76,7 @@
 func (h cursors) Len() int      { return len(h) }
 func (h cursors) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
 func (h cursors) Less(a, b int) bool {
-	if x, y := h[a].team.weighted(), h[b].team.weighted(); x != y {
+	if x, y := h[a].key(), h[b].key(); x != y {
 		return x < y
 	}
 	return h[a].team.name < h[b].team.name
@@ -86,7 +96,7 @@
 func (r *round) placeLevel(level int) {
 	h := cursors{}
 	for name, jobs := range r.c.Queue(level) {
-		h = append(h, &cursor{team: r.team(name), jobs: jobs})
+		h = append(h, &cursor{team: r.team(name), jobs: jobs, byArrival: r.p.cfg.ArrivalOrder})
 	}
 	heap.Init(&h)
 	for h.Len() > 0 && len(r.d.Placements) < maxPlacements {
@@ -95,7 +105,7 @@
 		switch {
 		case top.at == len(top.jobs):
 			heap.Pop(&h)
-		case placed:
+		case placed || top.byArrival:
 			heap.Fix(&h, 0)
 		}
 	}
--- a/controld/internal/planner/workers.go
+++ b/controld/internal/planner/workers.go
@@ -27,14 +27,19 @@
 
 // workers is the planner's copy of the usable workers. It is rebuilt only when the set of workers changes.
 type workers struct {
-	cell    *cell.Cell
-	set     uint64
-	slots   []slot
-	byName  map[string]int
-	racks   int
-	domains int
-	// capacity and free are sums over the usable workers.
-	capacity, free resource.Vector
+	cell  *cell.Cell
+	set   uint64
+	slots []slot
+	// rooms repeats the free room of each slot: a search that finds nothing reads only this, and it stays in the
+	// processor's cache.
+	rooms []resource.Vector
+	// roomiest is at least what any slot has free of each resource. Room only shrinks within a round.
+	roomiest resource.Vector
+	byName   map[string]int
+	racks    int
+	domains  int
+	// capacity is the sum over the usable workers.
+	capacity resource.Vector
 	// largest and fits are over all known workers: one that is lost or held may return.
 	largest  resource.Vector
 	all      []resource.Vector
@@ -75,13 +80,14 @@
 
 // refresh takes over the free room from the cell.
 func (ws *workers) refresh() {
-	ws.free, ws.preempts = resource.Vector{}, false
+	ws.preempts, ws.rooms, ws.roomiest = false, ws.rooms[:0], resource.Vector{}
 	for i := range ws.slots {
 		s := &ws.slots[i]
 		s.free = s.w.Free()
 		s.keptUrgent, s.keptGroup, s.incoming = resource.Vector{}, resource.Vector{}, resource.Vector{}
 		s.victims, s.probed = nil, false
-		ws.free = ws.free.Add(s.free)
+		ws.rooms = append(ws.rooms, s.free)
+		ws.roomiest = ws.roomiest.Max(s.free)
 	}
 }
 
@@ -99,5 +105,5 @@
 
 func (ws *workers) take(at int, need resource.Vector) {
 	ws.slots[at].free = ws.slots[at].free.Sub(need)
-	ws.free = ws.free.Sub(need)
+	ws.rooms[at] = ws.slots[at].free
 }
