--- a/controld/internal/planner/place.go
+++ b/controld/internal/planner/place.go
@@ -23,7 +23,7 @@
 	switch {
 	case j.Held():
 		r.wait(x, reason.JobHeld, resource.Vector{}, j.HoldReason())
-	case len(r.w.all) == 0:
+	case len(r.w.kinds) == 0:
 		r.wait(x, reason.NoWorkers, resource.Vector{}, "")
 	case fits == 0:
 		r.wait(x, reason.ExceedsLargest, r.w.largest, "")
@@ -88,7 +88,7 @@
 }
 
 func (r *round) noteFull(need resource.Vector) {
-	r.full = slices.DeleteFunc(r.full, func(v resource.Vector) bool { return need.FitsIn(v) })
+	r.full = slices.DeleteFunc(r.full, need.FitsIn)
 	if len(r.full) < maxFull {
 		r.full = append(r.full, need)
 	}
--- a/controld/internal/planner/workers.go
+++ b/controld/internal/planner/workers.go
@@ -42,21 +42,30 @@
 	capacity resource.Vector
 	// largest and fits are over all known workers: one that is lost or held may return.
 	largest  resource.Vector
-	all      []resource.Vector
-	fits     map[resource.Vector]int64
+	kinds    []kind
 	preempts bool
 }
 
+// kind counts the workers of one size: there are few sizes, and each waiting job is compared with all in each round.
+type kind struct {
+	capacity resource.Vector
+	workers  int64
+}
+
 func newWorkers(c *cell.Cell) *workers {
-	ws := &workers{cell: c, set: c.WorkerSet(), byName: map[string]int{}, fits: map[resource.Vector]int64{}}
+	ws := &workers{cell: c, set: c.WorkerSet(), byName: map[string]int{}}
+	counts := map[resource.Vector]int64{}
 	for _, w := range c.Workers() {
-		ws.all = append(ws.all, w.Capacity())
+		counts[w.Capacity()]++
 		ws.largest = ws.largest.Max(w.Capacity())
 		if w.Usable() {
 			ws.slots = append(ws.slots, slot{w: w})
 			ws.capacity = ws.capacity.Add(w.Capacity())
 		}
 	}
+	for capacity, count := range counts {
+		ws.kinds = append(ws.kinds, kind{capacity: capacity, workers: count})
+	}
 	slices.SortFunc(ws.slots, func(a, b slot) int { return strings.Compare(a.w.Name(), b.w.Name()) })
 	racks, domains := map[string]int{}, map[string]int{}
 	for i := range ws.slots {
@@ -92,13 +101,9 @@
 }
 
 // fitsInAll returns how many tasks of a size all known workers hold when they are empty.
-func (ws *workers) fitsInAll(need resource.Vector) int64 {
-	count, known := ws.fits[need]
-	if !known {
-		for _, capacity := range ws.all {
-			count += need.Count(capacity)
-		}
-		ws.fits[need] = count
+func (ws *workers) fitsInAll(need resource.Vector) (count int64) {
+	for _, k := range ws.kinds {
+		count += k.workers * need.Count(k.capacity)
 	}
 	return count
 }
