--- a/controld/internal/planner/workers.go
+++ b/controld/internal/planner/workers.go
@@ -27,31 +27,45 @@
 
 // workers is the planner's copy of the usable workers. It is rebuilt only when the set of workers changes.
 type workers struct {
-	cell    *cell.Cell
-	set     uint64
-	slots   []slot
-	byName  map[string]int
-	racks   int
-	domains int
-	// capacity and free are sums over the usable workers.
-	capacity, free resource.Vector
+	cell  *cell.Cell
+	set   uint64
+	slots []slot
+	// rooms repeats the free room of each slot: a search that finds nothing reads only this, and it stays in the
+	// processor's cache.
+	rooms []resource.Vector
+	// roomiest is at least what any slot has free of each resource. Room only shrinks within a round.
+	roomiest resource.Vector
+	byName   map[string]int
+	racks    int
+	domains  int
+	// capacity is the sum over the usable workers.
+	capacity resource.Vector
 	// largest and fits are over all known workers: one that is lost or held may return.
 	largest  resource.Vector
-	all      []resource.Vector
-	fits     map[resource.Vector]int64
+	kinds    []kind
 	preempts bool
 }
 
+// kind counts the workers of one size: there are few sizes, and each waiting job is compared with all in each round.
+type kind struct {
+	capacity resource.Vector
+	workers  int64
+}
+
 func newWorkers(c *cell.Cell) *workers {
-	ws := &workers{cell: c, set: c.WorkerSet(), byName: map[string]int{}, fits: map[resource.Vector]int64{}}
+	ws := &workers{cell: c, set: c.WorkerSet(), byName: map[string]int{}}
+	counts := map[resource.Vector]int64{}
 	for _, w := range c.Workers() {
-		ws.all = append(ws.all, w.Capacity())
+		counts[w.Capacity()]++
 		ws.largest = ws.largest.Max(w.Capacity())
 		if w.Usable() {
 			ws.slots = append(ws.slots, slot{w: w})
 			ws.capacity = ws.capacity.Add(w.Capacity())
 		}
 	}
+	for capacity, count := range counts {
+		ws.kinds = append(ws.kinds, kind{capacity: capacity, workers: count})
+	}
 	slices.SortFunc(ws.slots, func(a, b slot) int { return strings.Compare(a.w.Name(), b.w.Name()) })
 	racks, domains := map[string]int{}, map[string]int{}
 	for i := range ws.slots {
@@ -75,29 +89,26 @@
 
 // refresh takes over the free room from the cell.
 func (ws *workers) refresh() {
-	ws.free, ws.preempts = resource.Vector{}, false
+	ws.preempts, ws.rooms, ws.roomiest = false, ws.rooms[:0], resource.Vector{}
 	for i := range ws.slots {
 		s := &ws.slots[i]
 		s.free = s.w.Free()
 		s.keptUrgent, s.keptGroup, s.incoming = resource.Vector{}, resource.Vector{}, resource.Vector{}
 		s.victims, s.probed = nil, false
-		ws.free = ws.free.Add(s.free)
+		ws.rooms = append(ws.rooms, s.free)
+		ws.roomiest = ws.roomiest.Max(s.free)
 	}
 }
 
 // fitsInAll returns how many tasks of a size all known workers hold when they are empty.
-func (ws *workers) fitsInAll(need resource.Vector) int64 {
-	count, known := ws.fits[need]
-	if !known {
-		for _, capacity := range ws.all {
-			count += need.Count(capacity)
-		}
-		ws.fits[need] = count
+func (ws *workers) fitsInAll(need resource.Vector) (count int64) {
+	for _, k := range ws.kinds {
+		count += k.workers * need.Count(k.capacity)
 	}
 	return count
 }
 
 func (ws *workers) take(at int, need resource.Vector) {
 	ws.slots[at].free = ws.slots[at].free.Sub(need)
-	ws.free = ws.free.Sub(need)
+	ws.rooms[at] = ws.slots[at].free
 }
