Send renewals in place of unchanged reports; close three fencing gaps

Cause: an entry process sent every worker poll in full and listed every owned target in every beat.

Ruled out: a handle for the content of a report. A worker that polls through several entry processes would replace it with each poll; a handle for the worker and a fingerprint of the report do not depend on the path.

Change: a poll that says the same as the newest full report is sent as handle, poll number and fingerprint; the leader expands it only from a full report that it received itself in its own term, and asks for all others in full. Owned targets are listed when they change; the leader concludes nothing from a beat that lists none. A former owner that ended counts as a request in progress until the target announces its busy slots.

--- a/controld/internal/controller/reports.go
+++ b/controld/internal/controller/reports.go
@@ -17,9 +17,10 @@
 // handleReports renews worker leases, notes what changed, and hands out orders for committed decisions.
 func (c *Controller) handleReports(e reportsEvent, now time.Duration) {
 	reply := &wire.WorkerOrders{}
-	for _, report := range e.reports.GetReports() {
+	for _, report := range c.reg.Expand(e.reports, reply) {
 		reply.Workers = append(reply.Workers, c.handleReport(report, now))
 	}
+	c.reg.Compact(e.reports, reply)
 	e.reply(&wire.Reply{Body: &wire.Reply_WorkerOrders{WorkerOrders: reply}})
 }
 
--- a/controld/internal/registrar/beat.go
+++ b/controld/internal/registrar/beat.go
@@ -35,7 +35,9 @@
 	e.loads, e.leaving = request.GetLoads(), request.GetLeaving()
 	e.until = now + r.cfg.withDrift(r.cfg.EntryLease)
 	r.takeAnnouncements(request, reply, now)
-	r.takeHoldings(e, request, now)
+	if !request.GetOwnedUnchanged() {
+		r.takeHoldings(e, request, now)
+	}
 	r.expire(now)
 	r.assign(now)
 	reply.LeaseMs = uint32(r.cfg.EntryLease.Milliseconds())
@@ -106,7 +108,7 @@
 			r.recognise(e, t, o)
 		}
 	}
-	r.confirmFormers(e, request, held)
+	r.confirmFormers(e, request, held, now)
 	if request.GetSession() != r.term {
 		return
 	}
--- a/controld/internal/registrar/fence.go
+++ b/controld/internal/registrar/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"flamingodrift.example/core/wire"
 )
@@ -17,20 +18,15 @@
 
 // confirmFormers removes the former owners that a beat proves to have stopped: a newer boot of the process, or a beat
 // that was built after the process learned that it lost the target and no longer lists it.
-func (r *Registrar) confirmFormers(e *entry, request *wire.BeatRequest, held map[holding]bool) {
+func (r *Registrar) confirmFormers(e *entry, request *wire.BeatRequest, held map[holding]bool, now time.Duration) {
 	learned := request.GetSession() == r.term
 	for name, t := range r.targets {
-		dropped := t.dropFormers(func(f former) bool {
-			switch {
-			case f.entry != e.name:
-				return false
-			case f.boot != e.boot:
-				return f.boot < e.boot
-			default:
-				return learned && request.GetOwnershipVersion() > f.version && !held[holding{name, f.epoch}]
-			}
+		dropped := t.endFormers(now, func(f former) bool { return f.entry == e.name && f.boot < e.boot })
+		dropped += t.dropFormers(func(f former) bool {
+			return learned && f.entry == e.name && f.boot == e.boot && request.GetOwnershipVersion() > f.version &&
+				!held[holding{name, f.epoch}]
 		})
-		if dropped {
+		if dropped > 0 {
 			r.touchOwner(t)
 			r.forgetSilent(name, t)
 		}
@@ -64,7 +60,7 @@
 // Forget gives up the slots that are reserved for former boots of an entry process, or for UnknownOwner. An operator
 // does so after making sure that the host is off. It returns an error when the process has a lease or nothing is
 // reserved for it.
-func (r *Registrar) Forget(name string) error {
+func (r *Registrar) Forget(name string, now time.Duration) error {
 	if r.entries[name] != nil {
 		return fmt.Errorf("entry process %s has a lease", name)
 	}
@@ -73,7 +69,7 @@
 	}
 	found := false
 	for key, t := range r.targets {
-		if t.dropFormers(func(f former) bool { return f.entry == name }) {
+		if t.endFormers(now, func(f former) bool { return f.entry == name }) > 0 {
 			found = true
 			r.touchOwner(t)
 			r.forgetSilent(key, t)
--- a/controld/internal/registrar/fencing_test.go
+++ b/controld/internal/registrar/fencing_test.go
@@ -29,6 +29,8 @@
 	// A new boot proves that the other former owner has ended.
 	newProcess("b", "2").beat(r, 26*second, announced("t1"))
 	c.beat(r, 26*second, announced("t1"))
+	require.Equal(t, 1, c.reserved("t1"), "what it wrote last may still be in progress")
+	beats(r, 27*second, 27*second, c)
 	require.Equal(t, 0, c.reserved("t1"))
 }
 
@@ -118,11 +120,11 @@
 	a, b := newProcess("a", "1"), newProcess("b", "1")
 	beats(r, 4*second, 5*second, a)
 	beats(r, 6*second, 14*second, b)
-	require.Error(t, r.Forget("b"), "an entry process with a lease is not forgotten")
-	require.NoError(t, r.Forget("a"))
-	b.beat(r, 15*second, announced("t1"))
+	require.Error(t, r.Forget("b", 14*second), "an entry process with a lease is not forgotten")
+	require.NoError(t, r.Forget("a", 14*second))
+	beats(r, 15*second, 16*second, b)
 	require.Equal(t, 0, b.reserved("t1"))
-	require.Error(t, r.Forget("a"), "nothing is reserved for it any more")
+	require.Error(t, r.Forget("a", 16*second), "nothing is reserved for it any more")
 }
 
 // Guards against adding a full set of slots on top of requests that are still in progress from the former owner.
@@ -187,3 +189,19 @@
 	r.Track("a", "2", 9*second)
 	require.Empty(t, r.ExpireEntries(10*second), "a boot with a lease is tracked by it")
 }
+
+// Guards against confirming a process that lost the target twice by the epoch that it held first.
+func TestOwnerThatLostTheTargetTwice(t *testing.T) {
+	r := leader(1, 0)
+	a, b := newProcess("a", "1"), newProcess("b", "1")
+	beats(r, 4*second, 5*second, a)
+	// Nobody else lives, so it gets the target again, and loses it before it reports the new epoch.
+	r.ExpireEntries(9 * second)
+	a.beat(r, 9*second, announced("t1"))
+	epoch := a.owned["t1"].GetEpoch()
+	beats(r, 13*second, 14*second, b)
+	require.Contains(t, b.owned, "t1")
+	a.inProgress["t1"], a.owned = epoch, nil
+	beats(r, 15*second, 17*second, a, b)
+	require.Equal(t, 1, b.reserved("t1"))
+}
--- a/controld/internal/registrar/harness_test.go
+++ b/controld/internal/registrar/harness_test.go
@@ -1,6 +1,9 @@
 package registrar_test
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"flamingodrift.example/controld/internal/registrar"
@@ -37,6 +40,8 @@
 	owned      map[string]*wire.Ownership
 	// inProgress lists targets that were taken away while requests are in progress, with the epoch.
 	inProgress map[string]uint64
+	// sent and answered are what the last built and the last answered beat listed.
+	sent, answered string
 }
 
 func newProcess(name, boot string) *process {
@@ -58,6 +63,11 @@
 	for name, epoch := range p.inProgress {
 		request.Owned = append(request.Owned, &wire.OwnedTarget{Target: name, Epoch: epoch, Ended: true})
 	}
+	slices.SortFunc(request.Owned, func(a, b *wire.OwnedTarget) int { return strings.Compare(a.GetTarget(), b.GetTarget()) })
+	p.sent = fmt.Sprint(p.version, p.session, request.Owned)
+	if !p.full && p.sent == p.answered {
+		request.Owned, request.OwnedUnchanged = nil, true
+	}
 	return request
 }
 
@@ -66,6 +76,7 @@
 	if p.full {
 		return
 	}
+	p.answered = p.sent
 	p.session, p.stamp = reply.GetSession(), reply.GetStampMs()
 	if reply.GetOwnershipChanged() {
 		p.version = reply.GetOwnershipVersion()
--- a/controld/internal/registrar/registrar.go
+++ b/controld/internal/registrar/registrar.go
@@ -31,6 +31,8 @@
 	entries map[string]*entry
 	targets map[string]*target
 	epoch   uint64
+	// renewals holds the newest full reports of workers.
+	renewals renewals
 	// assignableAt is when leases of entry processes that an earlier leader granted have run out.
 	assignableAt time.Duration
 	neverServed  bool
@@ -54,6 +56,7 @@
 		workers:      map[string]*workerLease{},
 		entries:      map[string]*entry{},
 		targets:      map[string]*target{},
+		renewals:     renewals{workers: map[string]*lastReport{}},
 		assignableAt: now + cfg.withDrift(cfg.EntryLease),
 	}
 	for name, boot := range workers {
--- /dev/null
+++ b/controld/internal/registrar/renewal.go
@@ -0,0 +1,88 @@
+package registrar
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"flamingodrift.example/core/fingerprint"
+	"flamingodrift.example/core/wire"
+)
+
+// lastReport is the newest full report of a worker to this leader.
+type lastReport struct {
+	handle uint32
+	print  uint64
+	report *wire.WorkerReport
+}
+
+// renewals recognises polls that repeat a worker's newest full report.
+type renewals struct {
+	workers map[string]*lastReport
+	handles []*lastReport
+}
+
+// Expand returns the full reports of a batch, and after them those that renewals stand for. A renewal counts only when
+// its fingerprint is that of the newest full report that this leader received itself; all others are listed in the reply
+// as unknown.
+func (r *Registrar) Expand(batch *wire.WorkerReports, reply *wire.WorkerOrders) []*wire.WorkerReport {
+	reply.Session, reply.LeaseMs = r.term, uint32(r.cfg.WorkerLease.Milliseconds())
+	reports := append([]*wire.WorkerReport(nil), batch.GetReports()...)
+	for _, report := range reports {
+		r.renewals.remember(report)
+	}
+	polls, prints := batch.GetRenewedPolls(), batch.GetRenewedPrints()
+	for i, handle := range batch.GetRenewedHandles() {
+		last := r.renewals.find(handle)
+		if batch.GetSession() != r.term || last == nil || i >= len(polls) || i >= len(prints) || prints[i] != last.print {
+			reply.UnknownHandles = append(reply.UnknownHandles, handle)
+			continue
+		}
+		report := proto.Clone(last.report).(*wire.WorkerReport)
+		report.Poll, report.Session = polls[i], r.term
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// Compact adds the handles to the orders for full reports and leaves out those for renewals that say nothing but the
+// lease. reply.Workers must hold the orders for what Expand returned, in that sequence.
+func (r *Registrar) Compact(batch *wire.WorkerReports, reply *wire.WorkerOrders) {
+	full := len(batch.GetReports())
+	kept := reply.Workers[:full]
+	for i, order := range kept {
+		if last := r.renewals.workers[batch.GetReports()[i].GetWorker()]; last != nil && order.GetRefused() == "" {
+			order.Handle = last.handle
+		}
+	}
+	for _, order := range reply.GetWorkers()[full:] {
+		if order.GetRefused() != "" || len(order.GetOrders()) > 0 {
+			kept = append(kept, order)
+		}
+	}
+	reply.Workers = kept
+}
+
+func (n *renewals) find(handle uint32) *lastReport {
+	if handle == 0 || int(handle) > len(n.handles) {
+		return nil
+	}
+	return n.handles[handle-1]
+}
+
+// remember keeps a full report, unless a newer one of the worker is kept already.
+func (n *renewals) remember(report *wire.WorkerReport) {
+	hash, err := fingerprint.Report(report)
+	if err != nil {
+		return
+	}
+	last := n.workers[report.GetWorker()]
+	if last == nil {
+		last = &lastReport{handle: uint32(len(n.handles) + 1)}
+		n.handles = append(n.handles, last)
+		n.workers[report.GetWorker()] = last
+	}
+	if old := last.report; old != nil &&
+		(report.GetBoot() < old.GetBoot() || report.GetBoot() == old.GetBoot() && report.GetPoll() < old.GetPoll()) {
+		return
+	}
+	last.print, last.report = hash, report
+}
--- /dev/null
+++ b/controld/internal/registrar/renewal_test.go
@@ -0,0 +1,77 @@
+package registrar_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/fingerprint"
+	"flamingodrift.example/core/wire"
+)
+
+func report(poll uint64, tasks ...string) *wire.WorkerReport {
+	w := &wire.WorkerReport{Worker: "w1", Boot: "1", Poll: poll, Session: 2}
+	for _, task := range tasks {
+		w.Tasks = append(w.Tasks, &wire.TaskStatus{Task: task, Usage: &wire.Resources{CpuMilli: int64(poll)}})
+	}
+	return w
+}
+
+func renewal(t *testing.T, handle uint32, session uint64, of *wire.WorkerReport) *wire.WorkerReports {
+	t.Helper()
+	hash, err := fingerprint.Report(of)
+	require.NoError(t, err)
+	return &wire.WorkerReports{
+		RenewedHandles: []uint32{handle}, RenewedPolls: []uint64{of.GetPoll()}, RenewedPrints: []uint64{hash}, Session: session,
+	}
+}
+
+// Guards against conclusions from anything but a report that equals a full one which this leader received.
+func TestRenewalStandsForTheNewestFullReport(t *testing.T) {
+	r := leader(2, 0)
+	full := &wire.WorkerReports{Reports: []*wire.WorkerReport{report(1, "a", "b")}}
+	reply := &wire.WorkerOrders{}
+	require.Len(t, r.Expand(full, reply), 1)
+	reply.Workers = []*wire.WorkerOrder{{Worker: "w1"}}
+	r.Compact(full, reply)
+	handle := reply.GetWorkers()[0].GetHandle()
+	require.NotZero(t, handle)
+
+	cases := []struct {
+		name  string
+		batch *wire.WorkerReports
+		known bool
+	}{
+		{"same but for usage", renewal(t, handle, 2, report(2, "a", "b")), true},
+		{"a task is missing", renewal(t, handle, 2, report(3, "a")), false},
+		{"other leader's session", renewal(t, handle, 1, report(4, "a", "b")), false},
+		{"unknown handle", renewal(t, handle+1, 2, report(5, "a", "b")), false},
+		{"lists of unequal length", &wire.WorkerReports{RenewedHandles: []uint32{handle}, Session: 2}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			reply := &wire.WorkerOrders{}
+			expanded := r.Expand(c.batch, reply)
+			if !c.known {
+				require.Empty(t, expanded)
+				require.Equal(t, c.batch.GetRenewedHandles(), reply.GetUnknownHandles())
+				return
+			}
+			require.Len(t, expanded, 1)
+			require.Equal(t, c.batch.GetRenewedPolls()[0], expanded[0].GetPoll())
+			require.EqualValues(t, 2, expanded[0].GetSession())
+			require.Len(t, expanded[0].GetTasks(), 2)
+			require.Empty(t, reply.GetUnknownHandles())
+			reply.Workers = []*wire.WorkerOrder{{Worker: "w1", LeaseMs: 1}}
+			r.Compact(c.batch, reply)
+			require.Empty(t, reply.GetWorkers(), "a granted renewal without orders takes no place in the reply")
+		})
+	}
+
+	// A delayed full report does not replace a newer one, so a renewal of it is not known.
+	newer := &wire.WorkerReports{Reports: []*wire.WorkerReport{report(10, "a")}}
+	r.Expand(newer, &wire.WorkerOrders{})
+	r.Expand(full, &wire.WorkerOrders{})
+	require.Empty(t, r.Expand(renewal(t, handle, 2, report(11, "a", "b")), &wire.WorkerOrders{}))
+	require.Len(t, r.Expand(renewal(t, handle, 2, report(12, "a")), &wire.WorkerOrders{}), 1)
+}
--- a/controld/internal/registrar/target.go
+++ b/controld/internal/registrar/target.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -44,26 +45,34 @@
 	version uint64
 }
 
+// addFormer adds a former owner. A process that lost the target twice counts once, with the newer epoch: that is the one
+// it lists while it uses the target.
 func (t *target) addFormer(f former) {
-	for _, other := range t.formers {
+	for i, other := range t.formers {
 		if other.entry == f.entry && other.boot == f.boot {
+			if f.epoch > other.epoch {
+				t.formers[i] = f
+			}
 			return
 		}
 	}
 	t.formers = append(t.formers, f)
 }
 
-func (t *target) dropFormers(drop func(former) bool) (dropped bool) {
-	kept := t.formers[:0]
-	for _, f := range t.formers {
-		if drop(f) {
-			dropped = true
-			continue
-		}
-		kept = append(kept, f)
+// dropFormers removes former owners and returns how many there were.
+func (t *target) dropFormers(drop func(former) bool) int {
+	before := len(t.formers)
+	t.formers = slices.DeleteFunc(t.formers, drop)
+	return before - len(t.formers)
+}
+
+// endFormers removes former owners that have ended. What each wrote last may still be in progress at the target.
+func (t *target) endFormers(now time.Duration, ended func(former) bool) int {
+	count := t.dropFormers(ended)
+	if count > 0 {
+		t.foreign, t.foreignFrom = min(t.foreign+count, int(t.state.GetSlots())), now
 	}
-	t.formers = kept
-	return dropped
+	return count
 }
 
 // countForeign treats all slots as used by former owners until the target announces how many are busy.
--- a/entryd/internal/poller/poller.go
+++ b/entryd/internal/poller/poller.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"flamingodrift.example/entryd/internal/locator"
-
 	"flamingodrift.example/core/wire"
 )
 
@@ -22,10 +20,21 @@
 	maxWaiting   = 2_048
 )
 
+// Leader calls the leading controld process.
+type Leader interface {
+	Call(ctx context.Context, request *wire.Request) (*wire.Reply, error)
+}
+
+// Clock reads monotonic time.
+type Clock interface {
+	Now() time.Duration
+}
+
 // Config holds what a Poller needs.
 type Config struct {
-	Locator *locator.Locator
-	Entry   string
+	Leader Leader
+	Clock  Clock
+	Entry  string
 	// Batch is how long polls are gathered.
 	Batch time.Duration
 	// Timeout is how long a worker's poll may take.
@@ -39,10 +48,11 @@
 	mu      sync.Mutex
 	reports []*wire.WorkerReport
 	waiting []chan *wire.WorkerOrder
+	known   map[string]*known
 }
 
 // New returns a Poller.
-func New(cfg Config) *Poller { return &Poller{cfg: cfg} }
+func New(cfg Config) *Poller { return &Poller{cfg: cfg, known: map[string]*known{}} }
 
 // resources is the JSON form of an amount of each resource.
 type resources struct {
@@ -205,14 +215,6 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Timeout)
 	defer cancel()
-	request := &wire.WorkerReports{Entry: p.cfg.Entry, Reports: reports}
-	reply, err := p.cfg.Locator.Call(ctx, &wire.Request{Body: &wire.Request_WorkerReports{WorkerReports: request}})
-	orders := reply.GetWorkerOrders().GetWorkers()
-	for i, turn := range waiting {
-		if err != nil || i >= len(orders) || orders[i].GetWorker() != reports[i].GetWorker() || orders[i].GetPoll() != reports[i].GetPoll() {
-			turn <- nil
-			continue
-		}
-		turn <- orders[i]
-	}
+	b := p.newBatch(reports, waiting)
+	b.send(ctx)
 }
--- /dev/null
+++ b/entryd/internal/poller/poller_test.go
@@ -0,0 +1,136 @@
+package poller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/entryd/internal/poller"
+
+	"flamingodrift.example/core/wire"
+)
+
+// site is a poller with a scripted leader on a simulated clock.
+type site struct {
+	now    time.Duration
+	poller *poller.Poller
+	calls  []*wire.WorkerReports
+	answer func(*wire.WorkerReports) *wire.WorkerOrders
+}
+
+func (s *site) Now() time.Duration { return s.now }
+
+func (s *site) Call(_ context.Context, request *wire.Request) (*wire.Reply, error) {
+	s.calls = append(s.calls, request.GetWorkerReports())
+	orders := s.answer(request.GetWorkerReports())
+	if orders == nil {
+		return nil, errors.New("no leader")
+	}
+	return &wire.Reply{Body: &wire.Reply_WorkerOrders{WorkerOrders: orders}}, nil
+}
+
+func newSite() *site {
+	s := &site{now: time.Hour, answer: grant}
+	s.poller = poller.New(poller.Config{Leader: s, Clock: s, Entry: "e1", Batch: time.Millisecond, Timeout: 10 * time.Second})
+	return s
+}
+
+// grant answers full reports with handle 1 and knows all renewals.
+func grant(m *wire.WorkerReports) *wire.WorkerOrders {
+	orders := &wire.WorkerOrders{Session: 3, LeaseMs: 10_000}
+	for _, r := range m.GetReports() {
+		orders.Workers = append(orders.Workers, &wire.WorkerOrder{
+			Worker: r.GetWorker(), Poll: r.GetPoll(), LeaseMs: 10_000, Session: 3, Handle: 1,
+		})
+	}
+	return orders
+}
+
+func (s *site) poll(number, session, usage int, phase string) (status int, body string) {
+	text := fmt.Sprintf(`{"worker":"w1","boot":"1","poll":%d,"session":%d,"rack":"r","failure_domain":"f",
+		"tasks":[{"task":"a/0","attempt":1,"phase":%q,"usage":{"processors":%d}}]}`, number, session, phase, usage)
+	recorder := httptest.NewRecorder()
+	s.poller.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(text)))
+	return recorder.Code, recorder.Body.String()
+}
+
+// Guards against sending a full report with every poll, and against leaving one out when anything but the usage changed,
+// another leader answers, or the usage was not sent for long.
+func TestUnchangedReportsAreRenewed(t *testing.T) {
+	s := newSite()
+	cases := []struct {
+		name           string
+		session, usage int
+		phase          string
+		wait           time.Duration
+		full           bool
+	}{
+		{"first poll", 0, 1, "running", 0, true},
+		{"same with the leader's session", 3, 1, "running", 0, false},
+		{"other usage", 3, 2, "running", time.Second, false},
+		{"a task ended", 3, 2, "failed", time.Second, true},
+		{"same again", 3, 2, "failed", time.Second, false},
+		{"session of another leader", 2, 2, "failed", time.Second, true},
+		{"usage is old", 3, 2, "failed", 30 * time.Second, true},
+	}
+	for i, c := range cases {
+		s.now += c.wait
+		status, body := s.poll(i+1, c.session, c.usage, c.phase)
+		require.Equal(t, http.StatusOK, status, body)
+		require.Contains(t, body, `"lease_ms":10000`, c.name)
+		require.Contains(t, body, fmt.Sprintf(`"poll":%d,`, i+1), c.name)
+		require.Len(t, s.calls, i+1, c.name)
+		require.Equal(t, c.full, len(s.calls[i].GetReports()) == 1, c.name)
+		require.Equal(t, !c.full, len(s.calls[i].GetRenewedHandles()) == 1, c.name)
+	}
+}
+
+// Guards against a worker without an answer, or with a lease that was not granted, when its renewal is unknown, refused,
+// has orders, or gets no reply.
+func TestAnswerToARenewal(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(*wire.WorkerReports) *wire.WorkerOrders
+		status int
+		body   string
+	}{
+		{"unknown: sent in full", func(m *wire.WorkerReports) *wire.WorkerOrders {
+			orders := grant(m)
+			orders.UnknownHandles = m.GetRenewedHandles()
+			return orders
+		}, http.StatusOK, `"lease_ms":10000`},
+		{"refused", func(*wire.WorkerReports) *wire.WorkerOrders {
+			return &wire.WorkerOrders{Session: 3, LeaseMs: 10_000, Workers: []*wire.WorkerOrder{{Worker: "w1", Poll: 2, Refused: "stale_poll"}}}
+		}, http.StatusOK, `"lease_ms":0,"session":0,"refused":"stale_poll"`},
+		{"orders", func(*wire.WorkerReports) *wire.WorkerOrders {
+			return &wire.WorkerOrders{Session: 3, LeaseMs: 10_000, Workers: []*wire.WorkerOrder{{
+				Worker: "w1", Poll: 2, LeaseMs: 10_000, Orders: []*wire.Order{{Kind: wire.OrderKind_ORDER_KIND_STOP, Task: "a/0"}},
+			}}}
+		}, http.StatusOK, `"kind":"stop"`},
+		{"order for another poll", func(*wire.WorkerReports) *wire.WorkerOrders {
+			return &wire.WorkerOrders{Session: 3, Workers: []*wire.WorkerOrder{{Worker: "w1", Poll: 1, LeaseMs: 10_000}}}
+		}, http.StatusServiceUnavailable, "no leader"},
+		{"reply of a leader that was not asked", func(*wire.WorkerReports) *wire.WorkerOrders {
+			return &wire.WorkerOrders{Session: 4, LeaseMs: 10_000}
+		}, http.StatusServiceUnavailable, "no leader"},
+		{"no reply", func(*wire.WorkerReports) *wire.WorkerOrders { return nil }, http.StatusServiceUnavailable, "no leader"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite()
+			s.poll(1, 0, 1, "running")
+			s.answer = c.answer
+			status, body := s.poll(2, 3, 1, "running")
+			require.Len(t, s.calls[1].GetRenewedHandles(), 1)
+			require.Equal(t, c.status, status)
+			require.Contains(t, body, c.body)
+		})
+	}
+}
--- a/entryd/internal/steward/beat.go
+++ b/entryd/internal/steward/beat.go
@@ -24,6 +24,10 @@
 	// The lease and the confirmation count from before the beat was built.
 	sentAt := s.cfg.Clock.Now()
 	request := s.request()
+	listed := &listing{owned: request.GetOwned(), version: request.GetOwnershipVersion(), session: request.GetSession()}
+	if !s.full && listed.same(s.listed) {
+		request.Owned, request.OwnedUnchanged = nil, true
+	}
 	restore := s.cfg.Roster.Collect(request)
 	ctx, cancel := context.WithTimeout(ctx, max(s.cfg.Beat, time.Second))
 	defer cancel()
@@ -39,6 +43,7 @@
 		s.full = true
 		s.Hurry()
 	} else {
+		s.listed = listed
 		s.takeGrant(reply.GetBeat(), sentAt)
 	}
 	s.publish()
--- a/entryd/internal/steward/steward.go
+++ b/entryd/internal/steward/steward.go
@@ -66,7 +66,9 @@
 	session          uint64
 	stampMs          uint64
 	full             bool
-	wasCurrent       bool
+	// listed is what the last answered beat said about targets.
+	listed     *listing
+	wasCurrent bool
 }
 
 // New returns a Steward that is not current.
--- a/entryd/internal/steward/steward_test.go
+++ b/entryd/internal/steward/steward_test.go
@@ -182,6 +182,30 @@
 	require.Len(t, next.GetOwned(), 1)
 }
 
+// Guards against listing all targets in every beat, and against leaving out a change that the leader waits for.
+func TestOwnedTargetsAreListedWhenTheyChange(t *testing.T) {
+	s := newSite()
+	s.beat(owning(1, 1, "t1"))
+	s.beat(owning(1, 1, "t1"))
+	require.Len(t, s.beat(owning(1, 1, "t1")).GetOwned(), 1)
+	steady := s.beat(owning(1, 1, "t1"))
+	require.Empty(t, steady.GetOwned())
+	require.True(t, steady.GetOwnedUnchanged())
+
+	slot, _ := s.dispatcher.Acquire("chairbook", s.now)
+	require.NotNil(t, slot)
+	s.beat(owning(1, 2))
+	taken := s.beat(nil)
+	require.False(t, taken.GetOwnedUnchanged())
+	require.True(t, taken.GetOwned()[0].GetEnded())
+	require.Len(t, s.beat(owning(1, 2)).GetOwned(), 1, "the last beat was not answered")
+	require.True(t, s.beat(owning(1, 2)).GetOwnedUnchanged())
+	slot.Release()
+	ended := s.beat(owning(1, 2))
+	require.False(t, ended.GetOwnedUnchanged())
+	require.Empty(t, ended.GetOwned())
+}
+
 // Guards against requests to a target that just announced here that it leaves, also when the leader's copy is older.
 func TestLeavingTargetGetsNothingAtOnce(t *testing.T) {
 	s := newSite()
