--- a/controld/internal/controller/group_test.go
+++ b/controld/internal/controller/group_test.go
@@ -270,7 +270,10 @@
 			Change: &wire.Change{
 				Id: fmt.Sprint(g.changes), Operator: "test", ExpectedRevision: node.ctl.cell.Revision(), Digest: []byte{byte(g.changes)},
 			},
-			Config: &wire.Config{Profile: "waiting", Teams: []*wire.Team{{Name: string(bytes.Repeat([]byte{'x'}, size))}}},
+			// The weight makes each change a real one: an equal configuration does not raise the revision.
+			Config: &wire.Config{Profile: "waiting", Teams: []*wire.Team{
+				{Name: string(bytes.Repeat([]byte{'x'}, size)), Weight: uint32(g.changes)},
+			}},
 		}}},
 		done: func(result *wire.Result) { *a = answer{true, result.GetReason()} },
 		fail: func(refusal *wire.Refusal) { *a = answer{true, refusal.GetReason()} },
