--- a/controld/internal/server/loopback_test.go
+++ b/controld/internal/server/loopback_test.go
@@ -34,6 +34,7 @@
 	store     *store.Store
 	messenger *messenger.Messenger
 	listener  net.Listener
+	stop      context.CancelFunc
 	done      chan error
 }
 
@@ -121,7 +122,9 @@
 	require.NoError(t, err)
 	srv = New(node.ctl)
 	go func() { _ = node.messenger.Serve(node.listener) }()
-	go func() { node.done <- node.ctl.Run(l.ctx) }()
+	ctx, stop := context.WithCancel(l.ctx)
+	node.stop = stop
+	go func() { node.done <- node.ctl.Run(ctx) }()
 }
 
 func (l *loopback) leader() *loopbackNode {
