Let the stand-in balancer wait for a ready entry process

The stand-in balancer fell back to entry-1 when no readiness probe answered in time on the loaded machine, and entry-1 was closing. Ruled out: a request in progress that was cut off; the refused one was sent after the process had closed. Change: the balancer looks for a ready process for 2 s, as a balancer that holds a connection does. Conclusion: a fault of the stand-in.

--- a/standin/internal/launcher/launcher.go
+++ b/standin/internal/launcher/launcher.go
@@ -28,6 +28,8 @@
 	httpPort    = 7202
 	relayOffset = 1000
 	readyPoll   = 50 * time.Millisecond
+	// balanceLimit is how long a balancer holds a connection while no entry process is ready.
+	balanceLimit = 2 * time.Second
 )
 
 // Token is the operators' token of every launched cell.
@@ -309,18 +311,24 @@
 	return fmt.Sprintf("%s:%d", l.controlIP(i), healthPort)
 }
 
-// Balance returns the address of the next entry process that reports ready, as the platform's balancer does.
+// Balance returns the address of the next entry process that reports ready, as the platform's balancer does. While none
+// is ready it keeps looking for balanceLimit.
 func (l *Launcher) Balance() string {
-	for range l.cfg.Entries {
-		l.mu.Lock()
-		l.nextEntry = (l.nextEntry + 1) % l.cfg.Entries
-		address := l.EntryHTTP(l.nextEntry)
-		l.mu.Unlock()
-		if Ready(address) {
+	address := ""
+	for end := time.Now().Add(balanceLimit); ; time.Sleep(readyPoll) {
+		for range l.cfg.Entries {
+			l.mu.Lock()
+			l.nextEntry = (l.nextEntry + 1) % l.cfg.Entries
+			address = l.EntryHTTP(l.nextEntry)
+			l.mu.Unlock()
+			if Ready(address) {
+				return address
+			}
+		}
+		if time.Now().After(end) {
 			return address
 		}
 	}
-	return l.EntryHTTP(0)
 }
 
 var probe = &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
