Do not copy the change log and the history for each change

Change: the front of the lists is sliced off; the next growth of the list drops it. The cost still grows with the queue of one team, by moving its list of pointers.

--- a/controld/internal/cell/cell.go
+++ b/controld/internal/cell/cell.go
@@ -153,7 +153,8 @@
 		Revision: c.revision, AtUnixMs: now, Operator: ch.GetOperator(), Text: result.GetDetail(),
 	})
 	if len(c.history) > MaxHistory {
-		c.history = append([]*wire.HistoryEntry(nil), c.history[len(c.history)-MaxHistory:]...)
+		// A copy of the whole list for each change would dominate a wave of cancellations.
+		c.history = c.history[len(c.history)-MaxHistory:]
 	}
 	return result
 }
--- a/controld/internal/change/change.go
+++ b/controld/internal/change/change.go
@@ -47,7 +47,8 @@
 func (l *Log) Add(change *wire.Change, result *wire.Result) {
 	if len(l.order) >= MaxChanges {
 		delete(l.entries, l.order[0])
-		l.order = append([]string(nil), l.order[1:]...)
+		// A copy of the whole list for each change would dominate a wave of cancellations.
+		l.order = l.order[1:]
 	}
 	l.entries[change.GetId()] = &entry{change: change, result: result}
 	l.order = append(l.order, change.GetId())
