--- a/controld/internal/cell/operate.go
+++ b/controld/internal/cell/operate.go
@@ -67,7 +67,8 @@
 		Revision: c.revision, AtUnixMs: now, Operator: op.change.GetOperator(), Text: result.GetDetail(),
 	})
 	if len(c.history) > MaxHistory {
-		c.history = append([]*wire.HistoryEntry(nil), c.history[len(c.history)-MaxHistory:]...)
+		// A copy of the whole list for each change would dominate a wave of cancellations.
+		c.history = c.history[len(c.history)-MaxHistory:]
 	}
 	return result
 }
