--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -24,6 +24,8 @@
 	maxTokenBytes    = 256
 	castQueue        = 256
 	maxSessions      = 512
+
+	standardKeepAlive = 2 * time.Second
 )
 
 var (
@@ -58,6 +60,10 @@
 	// LocalAddress is the IP number that outgoing connections use; empty lets the system choose.
 	LocalAddress string
 	Handler      Handler
+	// KeepAlive is the interval at which a session is probed, and how long a probe may take; 0 is 2 s. A session that was
+	// cut off silently is closed within twice this time. Without that, TCP would try again ever more slowly for minutes
+	// after the cut has ended.
+	KeepAlive time.Duration
 }
 
 // Messenger calls peers and serves their calls. It is safe for concurrent use.
@@ -76,6 +82,9 @@
 
 // New returns a Messenger without connections.
 func New(cfg Config) *Messenger {
+	if cfg.KeepAlive == 0 {
+		cfg.KeepAlive = standardKeepAlive
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Messenger{
 		cfg: cfg, ctx: ctx, cancel: cancel,
@@ -227,7 +236,7 @@
 		return nil, fmt.Errorf("greet %s: %w", address, err)
 	}
 	_ = conn.SetDeadline(time.Time{})
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(conn, m.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
@@ -257,12 +266,12 @@
 	return subtle.ConstantTimeCompare(token, []byte(m.cfg.Token)) == 1
 }
 
-func sessionConfig() *yamux.Config {
+func (m *Messenger) sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.LogOutput = io.Discard
 	cfg.EnableKeepAlive = true
-	cfg.KeepAliveInterval = 10 * time.Second
-	cfg.ConnectionWriteTimeout = 5 * time.Second
+	cfg.KeepAliveInterval = m.cfg.KeepAlive
+	cfg.ConnectionWriteTimeout = m.cfg.KeepAlive
 	cfg.StreamOpenTimeout = 10 * time.Second
 	cfg.StreamCloseTimeout = 10 * time.Second
 	return cfg
@@ -289,7 +298,7 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, m.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- /dev/null
+++ b/core/messenger/messenger_test.go
@@ -0,0 +1,146 @@
+package messenger_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/wire"
+)
+
+const keepAlive = 50 * time.Millisecond
+
+func join() *wire.Request { return &wire.Request{Body: &wire.Request_Join{Join: &wire.JoinRequest{}}} }
+
+// serve starts a peer that answers with handler and returns its address.
+func serve(t *testing.T, handler messenger.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	peer := messenger.New(messenger.Config{Token: "right", Handler: handler, KeepAlive: keepAlive})
+	go func() { _ = peer.Serve(listener) }()
+	t.Cleanup(func() {
+		peer.Close()
+		_ = listener.Close()
+	})
+	return listener.Addr().String()
+}
+
+func answer(context.Context, *wire.Request) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Join{Join: &wire.JoinReply{}}}
+}
+
+func client(t *testing.T, token string) *messenger.Messenger {
+	m := messenger.New(messenger.Config{Token: token, KeepAlive: keepAlive})
+	t.Cleanup(m.Close)
+	return m
+}
+
+// Guards against reporting a request as not sent that may have reached the peer, and the reverse, which would forbid a
+// safe retry.
+func TestCallSaysWhetherItWasSent(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	silent := serve(t, func(ctx context.Context, _ *wire.Request) *wire.Reply {
+		<-ctx.Done()
+		return nil
+	})
+	cases := []struct {
+		name, address string
+		sent          bool
+	}{
+		{"nobody listens", closed.Addr().String(), false},
+		{"the peer does not answer", silent, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			defer cancel()
+			_, err := client(t, "right").Call(ctx, c.address, join())
+			var failed *messenger.Error
+			require.True(t, errors.As(err, &failed))
+			require.Equal(t, c.sent, failed.Sent)
+		})
+	}
+}
+
+// Guards against answering a process that does not know the cell's token.
+func TestWrongTokenIsRefused(t *testing.T) {
+	var handled atomic.Int32
+	address := serve(t, func(ctx context.Context, request *wire.Request) *wire.Reply {
+		handled.Add(1)
+		return answer(ctx, request)
+	})
+	_, err := client(t, "wrong").Call(context.Background(), address, join())
+	require.Error(t, err)
+	require.Zero(t, handled.Load())
+	_, err = client(t, "right").Call(context.Background(), address, join())
+	require.NoError(t, err)
+}
+
+// Guards against using a session that was cut off silently long after the cut has ended.
+func TestSilentlyCutSessionIsReplaced(t *testing.T) {
+	cut := startCut(t, serve(t, answer))
+	m := client(t, "right")
+	_, err := m.Call(context.Background(), cut.address, join())
+	require.NoError(t, err)
+	cut.swallowed.Store(1)
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), keepAlive)
+		defer cancel()
+		_, err := m.Call(ctx, cut.address, join())
+		return err == nil
+	}, 10*time.Second, keepAlive)
+}
+
+// cut passes connections on and swallows all bytes of the first ones, without closing them.
+type cut struct {
+	address   string
+	swallowed atomic.Int32
+}
+
+func startCut(t *testing.T, to string) *cut {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	c := &cut{address: listener.Addr().String()}
+	go func() {
+		for number := int32(1); ; number++ {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			go c.pump(number, in, out)
+			go c.pump(number, out, in)
+		}
+	}()
+	return c
+}
+
+func (c *cut) pump(number int32, from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			// The peer of a swallowed connection must not learn that it ended.
+			if !errors.Is(err, io.EOF) || number > c.swallowed.Load() {
+				_ = to.Close()
+			}
+			return
+		}
+		if number > c.swallowed.Load() {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
