--- a/controld/internal/controller/reports.go
+++ b/controld/internal/controller/reports.go
@@ -24,7 +24,7 @@
 // handleReports renews worker leases, notes what changed, and hands out orders for committed decisions.
 func (c *Controller) handleReports(e reportsEvent, now time.Duration) {
 	reply := &wire.WorkerOrders{}
-	for _, report := range c.reg.Expand(e.reports, reply) {
+	for _, report := range c.reg.Expand(e.reports, reply, now) {
 		reply.Workers = append(reply.Workers, c.handleReport(report, now))
 	}
 	c.reg.Compact(e.reports, reply)
--- a/controld/internal/registrar/renewal.go
+++ b/controld/internal/registrar/renewal.go
@@ -1,15 +1,21 @@
 package registrar
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"flamingodrift.example/core/fingerprint"
 	"flamingodrift.example/core/wire"
 )
 
+// usageInterval is how old the usage of a worker's tasks may get.
+const usageInterval = time.Minute
+
 // lastReport is the newest full report of a worker to this leader.
 type lastReport struct {
 	handle uint32
+	at     time.Duration
 	print  uint64
 	report *wire.WorkerReport
 }
@@ -23,16 +29,20 @@
 // Expand returns the full reports of a batch, and after them those that renewals stand for. A renewal counts only when
 // its fingerprint is that of the newest full report that this leader received itself; all others are listed in the reply
 // as unknown.
-func (r *Registrar) Expand(batch *wire.WorkerReports, reply *wire.WorkerOrders) []*wire.WorkerReport {
+//
+// A report is wanted in full again after usageInterval, because renewals do not carry the usage. The leader decides this
+// and not each entry process, so that a worker whose polls reach many entry processes is not asked by all of them.
+func (r *Registrar) Expand(batch *wire.WorkerReports, reply *wire.WorkerOrders, now time.Duration) []*wire.WorkerReport {
 	reply.Session, reply.LeaseMs = r.term, uint32(r.cfg.WorkerLease.Milliseconds())
 	reports := append([]*wire.WorkerReport(nil), batch.GetReports()...)
 	for _, report := range reports {
-		r.renewals.remember(report)
+		r.renewals.remember(report, now)
 	}
 	polls, prints := batch.GetRenewedPolls(), batch.GetRenewedPrints()
 	for i, handle := range batch.GetRenewedHandles() {
 		last := r.renewals.find(handle)
-		if batch.GetSession() != r.term || last == nil || i >= len(polls) || i >= len(prints) || prints[i] != last.print {
+		if batch.GetSession() != r.term || last == nil || i >= len(polls) || i >= len(prints) || prints[i] != last.print ||
+			now-last.at >= usageInterval {
 			reply.UnknownHandles = append(reply.UnknownHandles, handle)
 			continue
 		}
@@ -69,7 +79,7 @@
 }
 
 // remember keeps a full report, unless a newer one of the worker is kept already.
-func (n *renewals) remember(report *wire.WorkerReport) {
+func (n *renewals) remember(report *wire.WorkerReport, now time.Duration) {
 	hash, err := fingerprint.Report(report)
 	if err != nil {
 		return
@@ -84,5 +94,5 @@
 		(report.GetBoot() < old.GetBoot() || report.GetBoot() == old.GetBoot() && report.GetPoll() < old.GetPoll()) {
 		return
 	}
-	last.print, last.report = hash, report
+	last.print, last.report, last.at = hash, report, now
 }
--- a/controld/internal/registrar/renewal_test.go
+++ b/controld/internal/registrar/renewal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -31,7 +32,7 @@
 	r := leader(2, 0)
 	full := &wire.WorkerReports{Reports: []*wire.WorkerReport{report(1, "a", "b")}}
 	reply := &wire.WorkerOrders{}
-	require.Len(t, r.Expand(full, reply), 1)
+	require.Len(t, r.Expand(full, reply, 0), 1)
 	reply.Workers = []*wire.WorkerOrder{{Worker: "w1"}}
 	r.Compact(full, reply)
 	handle := reply.GetWorkers()[0].GetHandle()
@@ -51,7 +52,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			reply := &wire.WorkerOrders{}
-			expanded := r.Expand(c.batch, reply)
+			expanded := r.Expand(c.batch, reply, 0)
 			if !c.known {
 				require.Empty(t, expanded)
 				require.Equal(t, c.batch.GetRenewedHandles(), reply.GetUnknownHandles())
@@ -70,8 +71,41 @@
 
 	// A delayed full report does not replace a newer one, so a renewal of it is not known.
 	newer := &wire.WorkerReports{Reports: []*wire.WorkerReport{report(10, "a")}}
-	r.Expand(newer, &wire.WorkerOrders{})
-	r.Expand(full, &wire.WorkerOrders{})
-	require.Empty(t, r.Expand(renewal(t, handle, 2, report(11, "a", "b")), &wire.WorkerOrders{}))
-	require.Len(t, r.Expand(renewal(t, handle, 2, report(12, "a")), &wire.WorkerOrders{}), 1)
+	r.Expand(newer, &wire.WorkerOrders{}, 0)
+	r.Expand(full, &wire.WorkerOrders{}, 0)
+	require.Empty(t, r.Expand(renewal(t, handle, 2, report(11, "a", "b")), &wire.WorkerOrders{}, 0))
+	require.Len(t, r.Expand(renewal(t, handle, 2, report(12, "a")), &wire.WorkerOrders{}, 0), 1)
+}
+
+// Guards against usage that is never learned because every poll is a renewal, and against asking for it at each of many
+// entry processes.
+func TestOldUsageIsAskedFor(t *testing.T) {
+	r := leader(2, 0)
+	full := &wire.WorkerReports{Reports: []*wire.WorkerReport{report(1, "a")}}
+	reply := &wire.WorkerOrders{Workers: []*wire.WorkerOrder{{}}}
+	r.Expand(full, reply, 0)
+	r.Compact(full, reply)
+	handle := reply.GetWorkers()[0].GetHandle()
+	cases := []struct {
+		at      time.Duration
+		unknown int
+	}{{59 * time.Second, 0}, {60 * time.Second, 1}}
+	for i, c := range cases {
+		reply := &wire.WorkerOrders{}
+		r.Expand(renewal(t, handle, 2, report(uint64(i+2), "a")), reply, c.at)
+		require.Len(t, reply.GetUnknownHandles(), c.unknown, c.at)
+	}
+	r.Expand(&wire.WorkerReports{Reports: []*wire.WorkerReport{report(9, "a")}}, &wire.WorkerOrders{}, time.Minute)
+	reply = &wire.WorkerOrders{}
+	r.Expand(renewal(t, handle, 2, report(10, "a")), reply, time.Minute)
+	require.Empty(t, reply.GetUnknownHandles(), "the full report reached another entry process")
+}
+
+// Guards against a worker that lists its tasks in another order with each poll and so never sends a renewal.
+func TestOrderOfTasksDoesNotMatter(t *testing.T) {
+	one, err := fingerprint.Report(report(1, "a", "b"))
+	require.NoError(t, err)
+	other, err := fingerprint.Report(report(2, "b", "a"))
+	require.NoError(t, err)
+	require.Equal(t, one, other)
 }
--- a/controld/internal/server/measure_test.go
+++ b/controld/internal/server/measure_test.go
@@ -77,7 +77,7 @@
 	name := string(slices.Repeat([]byte{'x'}, size))
 	return &wire.Command{Body: &wire.Command_Configure{Configure: &wire.Configure{
 		Change: &wire.Change{Id: fmt.Sprintf("change-%d", revision), Operator: "operator", ExpectedRevision: uint64(revision)},
-		Config: &wire.Config{Profile: "waiting", Teams: []*wire.Team{{Name: name}}},
+		Config: &wire.Config{Profile: "waiting", Teams: []*wire.Team{{Name: name, Weight: uint32(revision + 1)}}},
 	}}}
 }
 
--- a/controld/internal/store/store.go
+++ b/controld/internal/store/store.go
@@ -8,7 +8,6 @@
 	"os"
 	"path/filepath"
 
-	"github.com/google/uuid"
 	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 
@@ -54,7 +53,7 @@
 
 // Bootstrap makes the data folder of the first node of a cell. member needs no id.
 func Bootstrap(dir string, member *wire.Member) error {
-	id := &wire.Identity{NodeId: uuid.NewString()}
+	id := &wire.Identity{NodeId: newNodeID()}
 	member.Id, member.Voter = id.GetNodeId(), true
 	id.Bootstrap = &wire.Membership{Members: []*wire.Member{member}}
 	if err := makeDir(dir); err != nil {
@@ -174,7 +173,7 @@
 			return &journal.DamageError{File: s.path(identityFile), Detail: "identity is missing, but " + name + " exists"}
 		}
 	}
-	s.identity = &wire.Identity{NodeId: uuid.NewString()}
+	s.identity = &wire.Identity{NodeId: newNodeID()}
 	return journal.WriteFile(s.path(identityFile), s.identity, s.open)
 }
 
--- a/core/fingerprint/fingerprint.go
+++ b/core/fingerprint/fingerprint.go
@@ -2,8 +2,10 @@
 package fingerprint
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,6 +20,10 @@
 	for _, status := range stable.GetTasks() {
 		status.Usage = nil
 	}
+	// A worker may list its tasks in any order.
+	slices.SortFunc(stable.GetTasks(), func(a, b *wire.TaskStatus) int {
+		return cmp.Or(cmp.Compare(a.GetTask(), b.GetTask()), cmp.Compare(a.GetAttempt(), b.GetAttempt()))
+	})
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(stable)
 	if err != nil {
 		return 0, fmt.Errorf("encode report: %w", err)
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -84,7 +84,7 @@
 	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
 	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
 	d.http.HandlePrefix("/platform/v1/workers/poll", poller.New(poller.Config{
-		Leader: leader, Clock: d.clock, Entry: cfg.Name, Batch: settings.Duration(cfg.PollBatchMs), Timeout: settings.Duration(cfg.PollTimeoutMs),
+		Leader: leader, Entry: cfg.Name, Batch: settings.Duration(cfg.PollBatchMs), Timeout: settings.Duration(cfg.PollTimeoutMs),
 	}))
 	d.http.HandlePrefix("/metrics", counters.Handler())
 	d.http.HandlePrefix("/healthz", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/entryd/internal/poller/batch.go
+++ b/entryd/internal/poller/batch.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"time"
 
 	"flamingodrift.example/core/fingerprint"
 	"flamingodrift.example/core/wire"
 )
 
 const (
-	// fullInterval is how often an unchanged report is sent in full, because renewals do not carry the usage.
-	fullInterval = 30 * time.Second
 	// maxKnown bounds the workers that are remembered.
 	maxKnown = 4_096
 )
@@ -20,7 +17,6 @@
 	handle  uint32
 	session uint64
 	print   uint64
-	fullAt  time.Duration
 }
 
 // item is one poll of a batch.
@@ -42,14 +38,13 @@
 // report of the worker, which the present leader answered; the worker proves that by returning the leader's session.
 func (p *Poller) newBatch(reports []*wire.WorkerReport, waiting []chan *wire.WorkerOrder) *batch {
 	b := &batch{poller: p, renewed: map[uint32]item{}, message: &wire.WorkerReports{Entry: p.cfg.Entry}}
-	now := p.cfg.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i, report := range reports {
 		hash, err := fingerprint.Report(report)
 		it := item{report: report, print: hash, turn: waiting[i]}
 		k := p.known[report.GetWorker()]
-		if err != nil || k == nil || !b.renew(it, k, now) {
+		if err != nil || k == nil || !b.renew(it, k) {
 			b.full = append(b.full, it)
 			b.message.Reports = append(b.message.Reports, report)
 		}
@@ -57,9 +52,9 @@
 	return b
 }
 
-func (b *batch) renew(it item, k *known, now time.Duration) bool {
+func (b *batch) renew(it item, k *known) bool {
 	m := b.message
-	if k.print != it.print || k.session != it.report.GetSession() || now-k.fullAt >= fullInterval {
+	if k.print != it.print || k.session != it.report.GetSession() {
 		return false
 	}
 	if _, twice := b.renewed[k.handle]; twice || m.GetSession() != 0 && m.GetSession() != k.session {
@@ -120,7 +115,7 @@
 		return
 	}
 	p.known[it.report.GetWorker()] = &known{
-		handle: order.GetHandle(), session: order.GetSession(), print: it.print, fullAt: p.cfg.Clock.Now(),
+		handle: order.GetHandle(), session: order.GetSession(), print: it.print,
 	}
 }
 
--- a/entryd/internal/poller/poller.go
+++ b/entryd/internal/poller/poller.go
@@ -28,15 +28,9 @@
 	Call(ctx context.Context, request *wire.Request) (*wire.Reply, error)
 }
 
-// Clock reads monotonic time.
-type Clock interface {
-	Now() time.Duration
-}
-
 // Config holds what a Poller needs.
 type Config struct {
 	Leader Leader
-	Clock  Clock
 	Entry  string
 	// Batch is how long polls are gathered.
 	Batch time.Duration
--- a/entryd/internal/poller/poller_test.go
+++ b/entryd/internal/poller/poller_test.go
@@ -17,16 +17,13 @@
 	"flamingodrift.example/core/wire"
 )
 
-// site is a poller with a scripted leader on a simulated clock.
+// site is a poller with a scripted leader.
 type site struct {
-	now    time.Duration
 	poller *poller.Poller
 	calls  []*wire.WorkerReports
 	answer func(*wire.WorkerReports) *wire.WorkerOrders
 }
 
-func (s *site) Now() time.Duration { return s.now }
-
 func (s *site) Call(_ context.Context, request *wire.Request) (*wire.Reply, error) {
 	s.calls = append(s.calls, request.GetWorkerReports())
 	orders := s.answer(request.GetWorkerReports())
@@ -37,8 +34,8 @@
 }
 
 func newSite() *site {
-	s := &site{now: time.Hour, answer: grant}
-	s.poller = poller.New(poller.Config{Leader: s, Clock: s, Entry: "e1", Batch: time.Millisecond, Timeout: 10 * time.Second})
+	s := &site{answer: grant}
+	s.poller = poller.New(poller.Config{Leader: s, Entry: "e1", Batch: time.Millisecond, Timeout: 10 * time.Second})
 	return s
 }
 
@@ -62,26 +59,23 @@
 }
 
 // Guards against sending a full report with every poll, and against leaving one out when anything but the usage changed,
-// another leader answers, or the usage was not sent for long.
+// or another leader answers. The leader asks for old usage itself: see TestOldUsageIsAskedFor of its registrar.
 func TestUnchangedReportsAreRenewed(t *testing.T) {
 	s := newSite()
 	cases := []struct {
 		name           string
 		session, usage int
 		phase          string
-		wait           time.Duration
 		full           bool
 	}{
-		{"first poll", 0, 1, "running", 0, true},
-		{"same with the leader's session", 3, 1, "running", 0, false},
-		{"other usage", 3, 2, "running", time.Second, false},
-		{"a task ended", 3, 2, "failed", time.Second, true},
-		{"same again", 3, 2, "failed", time.Second, false},
-		{"session of another leader", 2, 2, "failed", time.Second, true},
-		{"usage is old", 3, 2, "failed", 30 * time.Second, true},
+		{"first poll", 0, 1, "running", true},
+		{"same with the leader's session", 3, 1, "running", false},
+		{"other usage", 3, 2, "running", false},
+		{"a task ended", 3, 2, "failed", true},
+		{"same again", 3, 2, "failed", false},
+		{"session of another leader", 2, 2, "failed", true},
 	}
 	for i, c := range cases {
-		s.now += c.wait
 		status, body := s.poll(i+1, c.session, c.usage, c.phase)
 		require.Equal(t, http.StatusOK, status, body)
 		require.Contains(t, body, `"lease_ms":10000`, c.name)
--- a/standin/internal/surveyor/surveyor.go
+++ b/standin/internal/surveyor/surveyor.go
@@ -20,7 +20,6 @@
 	startLimit   = 60 * time.Second
 	settleLimit  = 120 * time.Second
 	pollPause    = 500 * time.Millisecond
-	workerPoll   = time.Second
 	servicesPart = 5
 )
 
@@ -36,7 +35,11 @@
 	// Callers send non-idempotent requests during the measurement; 0 measures control alone.
 	Callers int
 	Window  time.Duration
-	Out     io.Writer
+	// Poll is the interval of workers' polls and targets' announcements.
+	Poll time.Duration
+	// Settings overrides settings of both daemons by name.
+	Settings map[string]int
+	Out      io.Writer
 }
 
 // Run measures each size and prints one line for each role.
@@ -59,7 +62,7 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	cell, err := launcher.New(launcher.Config{
 		Programs: cfg.Programs, Folder: folder, Controls: cfg.Controls, Entries: cfg.Entries,
-		FailureDomains: []string{"a", "b", "c"},
+		FailureDomains: []string{"a", "b", "c"}, Timing: cfg.Settings,
 	})
 	if err != nil {
 		return err
@@ -79,7 +82,7 @@
 		w := workeragent.Start(workeragent.Config{
 			Name: fmt.Sprintf("worker-%d", i+1), Rack: fmt.Sprintf("rack-%d", i/8+1), FailureDomain: []string{"a", "b", "c"}[i%3],
 			IP: cell.WorkerIP(i), Capacity: oracle.Amount{Processors: 32, MemoryMB: 131072}, Entries: rotate(cell, cfg.Entries, i),
-			Oracle: watcher, Poll: workerPoll, PollTimeout: 2 * time.Second, DrainTime: 100 * time.Millisecond,
+			Oracle: watcher, Poll: cfg.Poll, PollTimeout: 2 * time.Second, DrainTime: 100 * time.Millisecond,
 		})
 		defer w.Stop()
 	}
--- a/standin/main.go
+++ b/standin/main.go
@@ -18,13 +18,15 @@
 }
 
 type surveyCommand struct {
-	Programs string        `arg:"--programs" default:"build" help:"folder with the built programs" placeholder:"DIR"`
-	Controls int           `arg:"--controls" default:"3" help:"control processes"`
-	Entries  int           `arg:"--entries" default:"7" help:"entry processes"`
-	Workers  []int         `arg:"--workers" help:"numbers of workers to measure" placeholder:"N"`
-	Tasks    int           `arg:"--tasks" default:"9" help:"tasks for each worker; a fifth are services"`
-	Callers  int           `arg:"--callers" default:"0" help:"callers that send requests meanwhile"`
-	Window   time.Duration `arg:"--window" default:"20s" help:"how long to measure"`
+	Programs string         `arg:"--programs" default:"build" help:"folder with the built programs" placeholder:"DIR"`
+	Controls int            `arg:"--controls" default:"3" help:"control processes"`
+	Entries  int            `arg:"--entries" default:"7" help:"entry processes"`
+	Workers  []int          `arg:"--workers" help:"numbers of workers to measure" placeholder:"N"`
+	Tasks    int            `arg:"--tasks" default:"9" help:"tasks for each worker; a fifth are services"`
+	Callers  int            `arg:"--callers" default:"0" help:"callers that send requests meanwhile"`
+	Window   time.Duration  `arg:"--window" default:"20s" help:"how long to measure"`
+	Poll     time.Duration  `arg:"--poll" default:"1s" help:"interval of workers' polls and targets' announcements"`
+	Settings map[string]int `arg:"--set" help:"settings of the daemons to override" placeholder:"NAME=VALUE"`
 }
 
 type arguments struct {
@@ -48,7 +50,7 @@
 		err = surveyor.Run(surveyor.Config{
 			Programs: args.Survey.Programs, Controls: args.Survey.Controls, Entries: args.Survey.Entries,
 			Workers: args.Survey.Workers, TasksPerWorker: args.Survey.Tasks, Callers: args.Survey.Callers,
-			Window: args.Survey.Window, Out: os.Stdout,
+			Window: args.Survey.Window, Poll: args.Survey.Poll, Settings: args.Survey.Settings, Out: os.Stdout,
 		})
 	default:
 		parser.WriteUsage(os.Stderr)
