--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"flamingodrift.example/core/checker"
 	"flamingodrift.example/core/loader"
 )
 
@@ -37,60 +38,39 @@
 	MemoryLimitMB int `json:"memory_limit_mb"`
 }
 
-// number describes a numeric setting with its default and bounds.
-type number struct {
-	path            string
-	value           *int
-	standard        int
-	lowest, highest int
-}
-
-func (s *Settings) numbers() []number {
-	return []number{
-		{"voters", &s.Voters, 5, 1, 9},
-		{"heartbeat_ms", &s.HeartbeatMs, 200, 10, 5_000},
-		{"election_min_ms", &s.ElectionMinMs, 1_000, 50, 30_000},
-		{"election_max_ms", &s.ElectionMaxMs, 2_000, 60, 60_000},
-		{"worker_lease_ms", &s.WorkerLeaseMs, 10_000, 200, 600_000},
-		{"poll_timeout_ms", &s.PollTimeoutMs, 2_000, 50, 60_000},
-		{"entry_lease_ms", &s.EntryLeaseMs, 3_000, 100, 13_000},
-		{"target_silent_ms", &s.TargetSilentMs, 4_000, 100, 60_000},
-		{"memory_limit_mb", &s.MemoryLimitMB, 28, 16, 4_096},
+func (s *Settings) numbers() []checker.Number {
+	return []checker.Number{
+		{Path: "voters", Value: &s.Voters, Standard: 5, Lowest: 1, Highest: 9},
+		{Path: "heartbeat_ms", Value: &s.HeartbeatMs, Standard: 200, Lowest: 10, Highest: 5_000},
+		{Path: "election_min_ms", Value: &s.ElectionMinMs, Standard: 1_000, Lowest: 50, Highest: 30_000},
+		{Path: "election_max_ms", Value: &s.ElectionMaxMs, Standard: 2_000, Lowest: 60, Highest: 60_000},
+		{Path: "worker_lease_ms", Value: &s.WorkerLeaseMs, Standard: 10_000, Lowest: 200, Highest: 600_000},
+		{Path: "poll_timeout_ms", Value: &s.PollTimeoutMs, Standard: 2_000, Lowest: 50, Highest: 60_000},
+		{Path: "entry_lease_ms", Value: &s.EntryLeaseMs, Standard: 3_000, Lowest: 100, Highest: 13_000},
+		{Path: "target_silent_ms", Value: &s.TargetSilentMs, Standard: 4_000, Lowest: 100, Highest: 60_000},
+		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Standard: 28, Lowest: 16, Highest: 4_096},
 	}
 }
 
-// Bounds of texts in bytes.
-const (
-	maxTextBytes  = 128
-	minTokenBytes = 16
-)
-
 // Check fills in defaults and returns every problem.
 func (s *Settings) Check() []loader.Problem {
-	c := &check{}
-	for _, n := range s.numbers() {
-		if *n.value == 0 {
-			*n.value = n.standard
-		}
-		if *n.value < n.lowest || *n.value > n.highest {
-			c.fail(n.path, fmt.Sprint(*n.value), fmt.Sprintf("%d to %d", n.lowest, n.highest))
-		}
-	}
-	c.text("name", s.Name)
-	c.text("failure_domain", s.FailureDomain)
-	c.text("data_folder", s.DataFolder)
-	c.token("cell_token", s.CellToken)
+	c := checker.New()
+	c.Numbers(s.numbers())
+	c.Text("name", s.Name)
+	c.Text("failure_domain", s.FailureDomain)
+	c.Text("data_folder", s.DataFolder)
+	c.Token("cell_token", s.CellToken)
 	if s.AdvertiseAddress == "" {
 		s.AdvertiseAddress = s.Address
 	}
-	c.address("address", s.Address)
-	c.reachable("advertise_address", s.AdvertiseAddress)
-	c.address("health_address", s.HealthAddress)
-	c.list("peers", s.Peers)
+	c.Address("address", s.Address)
+	c.Reachable("advertise_address", s.AdvertiseAddress)
+	c.Address("health_address", s.HealthAddress)
+	c.ReachableList("peers", s.Peers)
 	if s.ElectionMaxMs <= s.ElectionMinMs || s.ElectionMinMs < 3*s.HeartbeatMs {
-		c.fail("election_min_ms", fmt.Sprint(s.ElectionMinMs), "at least 3 times heartbeat_ms and below election_max_ms")
+		c.Fail("election_min_ms", fmt.Sprint(s.ElectionMinMs), "at least 3 times heartbeat_ms and below election_max_ms")
 	}
-	return c.problems
+	return c.Problems()
 }
 
 // Duration converts a setting in milliseconds.
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"flamingodrift.example/core/checker"
 	"flamingodrift.example/core/loader"
 )
 
@@ -40,74 +41,54 @@
 	Token string `json:"token" secret:"true"`
 }
 
-// Bounds of texts in bytes.
-const (
-	maxTextBytes  = 128
-	minTokenBytes = 16
-)
-
-type number struct {
-	path            string
-	value           *int
-	standard        int
-	lowest, highest int
-}
-
-func (s *Settings) numbers() []number {
-	return []number{
-		{"beat_ms", &s.BeatMs, 1_000, 20, 5_000},
-		{"currency_ms", &s.CurrencyMs, 5_000, 100, 13_000},
-		{"poll_batch_ms", &s.PollBatchMs, 50, 1, 1_000},
-		{"poll_timeout_ms", &s.PollTimeoutMs, 1_800, 50, 60_000},
-		{"drain_ms", &s.DrainMs, 2_000, 1, 60_000},
-		{"stop_ms", &s.StopMs, 15_000, 100, 600_000},
-		{"memory_limit_mb", &s.MemoryLimitMB, 28, 16, 4_096},
+func (s *Settings) numbers() []checker.Number {
+	return []checker.Number{
+		{Path: "beat_ms", Value: &s.BeatMs, Standard: 1_000, Lowest: 20, Highest: 5_000},
+		{Path: "currency_ms", Value: &s.CurrencyMs, Standard: 5_000, Lowest: 100, Highest: 13_000},
+		{Path: "poll_batch_ms", Value: &s.PollBatchMs, Standard: 50, Lowest: 1, Highest: 1_000},
+		{Path: "poll_timeout_ms", Value: &s.PollTimeoutMs, Standard: 1_800, Lowest: 50, Highest: 60_000},
+		{Path: "drain_ms", Value: &s.DrainMs, Standard: 2_000, Lowest: 1, Highest: 60_000},
+		{Path: "stop_ms", Value: &s.StopMs, Standard: 15_000, Lowest: 100, Highest: 600_000},
+		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Standard: 28, Lowest: 16, Highest: 4_096},
 	}
 }
 
 // Check fills in defaults and returns every problem.
 func (s *Settings) Check() []loader.Problem {
-	c := &check{}
-	for _, n := range s.numbers() {
-		if *n.value == 0 {
-			*n.value = n.standard
-		}
-		if *n.value < n.lowest || *n.value > n.highest {
-			c.fail(n.path, fmt.Sprint(*n.value), fmt.Sprintf("%d to %d", n.lowest, n.highest))
-		}
-	}
+	c := checker.New()
+	c.Numbers(s.numbers())
 	if s.CurrencyMs <= s.BeatMs {
-		c.fail("currency_ms", fmt.Sprint(s.CurrencyMs), "above beat_ms")
+		c.Fail("currency_ms", fmt.Sprint(s.CurrencyMs), "above beat_ms")
 	}
-	c.text("name", s.Name)
-	c.text("failure_domain", s.FailureDomain)
-	c.token("cell_token", s.CellToken)
+	c.Text("name", s.Name)
+	c.Text("failure_domain", s.FailureDomain)
+	c.Token("cell_token", s.CellToken)
 	if s.AdvertiseAddress == "" {
 		s.AdvertiseAddress = s.Address
 	}
-	c.address("address", s.Address)
-	c.reachable("advertise_address", s.AdvertiseAddress)
-	c.address("http_address", s.HTTPAddress)
-	c.list("controls", s.Controls)
+	c.Address("address", s.Address)
+	c.Reachable("advertise_address", s.AdvertiseAddress)
+	c.Address("http_address", s.HTTPAddress)
+	c.ReachableList("controls", s.Controls)
 	if len(s.Controls) == 0 {
-		c.fail("controls", "", "at least one address")
+		c.Fail("controls", "", "at least one address")
 	}
 	s.checkOperators(c)
-	return c.problems
+	return c.Problems()
 }
 
 // checkOperators refuses equal tokens: the history must name the operator who made a change.
-func (s *Settings) checkOperators(c *check) {
+func (s *Settings) checkOperators(c *checker.Checker) {
 	names, tokens := map[string]bool{}, map[string]bool{}
 	for i, o := range s.Operators {
 		path := fmt.Sprintf("operators[%d]", i)
-		c.text(path+".name", o.Name)
-		c.token(path+".token", o.Token)
+		c.Text(path+".name", o.Name)
+		c.Token(path+".token", o.Token)
 		if names[o.Name] {
-			c.fail(path+".name", o.Name, "a name that is used once")
+			c.Fail(path+".name", o.Name, "a name that is used once")
 		}
 		if tokens[o.Token] {
-			c.fail(path+".token", loader.Hidden, "a token that is used once")
+			c.Fail(path+".token", loader.Hidden, "a token that is used once")
 		}
 		names[o.Name], tokens[o.Token] = true, true
 	}
--- a/entryd/internal/settings/settings_test.go
+++ b/entryd/internal/settings/settings_test.go
@@ -27,9 +27,9 @@
 	require.NoError(t, err)
 	require.Equal(t, "10.0.0.1:7201", s.AdvertiseAddress)
 	for _, n := range s.numbers() {
-		require.Equal(t, n.standard, *n.value, n.path)
-		require.GreaterOrEqual(t, n.standard, n.lowest, n.path)
-		require.LessOrEqual(t, n.standard, n.highest, n.path)
+		require.Equal(t, n.Standard, *n.Value, n.Path)
+		require.GreaterOrEqual(t, n.Standard, n.Lowest, n.Path)
+		require.LessOrEqual(t, n.Standard, n.Highest, n.Path)
 	}
 }
 
@@ -64,12 +64,12 @@
 // TestBounds guards each bound on both sides.
 func TestBounds(t *testing.T) {
 	for _, n := range (&Settings{}).numbers() {
-		for _, value := range []int{n.lowest - 1, n.highest + 1} {
+		for _, value := range []int{n.Lowest - 1, n.Highest + 1} {
 			if value == 0 {
 				continue
 			}
-			_, err := parse(fmt.Sprintf(`, "%s": %d`, n.path, value))
-			require.ErrorContains(t, err, fmt.Sprintf(`%s: "%d" is not allowed`, n.path, value))
+			_, err := parse(fmt.Sprintf(`, "%s": %d`, n.Path, value))
+			require.ErrorContains(t, err, fmt.Sprintf(`%s: "%d" is not allowed`, n.Path, value))
 		}
 	}
 }
@@ -88,8 +88,8 @@
 	section, _, _ = strings.Cut(section, "\n## ")
 	require.Empty(t, loader.CompareDocs(section, &Settings{}))
 	for _, n := range (&Settings{}).numbers() {
-		row := regexp.MustCompile("(?m)^\\| `" + n.path + "` .*$").FindString(section)
-		require.Contains(t, row, fmt.Sprintf("| %d | %d to %d |", n.standard, n.lowest, n.highest), n.path)
+		row := regexp.MustCompile("(?m)^\\| `" + n.Path + "` .*$").FindString(section)
+		require.Contains(t, row, fmt.Sprintf("| %d | %d to %d |", n.Standard, n.Lowest, n.Highest), n.Path)
 	}
 }
 
