--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	tickInterval = 20 * time.Millisecond
-	queueLength  = 1024
+	// ticksPerHeartbeat is how often the loop turns by itself, so that a heartbeat is late by a quarter of its interval at
+	// most. Each turn costs processor time on an idle node.
+	ticksPerHeartbeat = 4
+	queueLength       = 1024
 	// maxTurnEvents bounds the events that one turn of the loop handles before it syncs.
 	maxTurnEvents = 256
 	// defaultSnapshotBytes is the journal size that triggers a snapshot.
@@ -180,7 +182,7 @@
 // Run owns the control state until the context ends; a leader then hands over first, which takes ElectionMax at most. An
 // error means that the node must stop: ErrRemoved, a *journal.DamageError, or a write that failed.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(c.cfg.Heartbeat / ticksPerHeartbeat)
 	defer ticker.Stop()
 	defer c.failWaiters()
 	stop := ctx.Done()
--- a/controld/internal/registrar/beat.go
+++ b/controld/internal/registrar/beat.go
@@ -98,7 +98,7 @@
 }
 
 // takeHoldings compares what a process lists with what is known: claims from an earlier leader's time, targets that it
-// has let go, and former owners that have stopped.
+// has released, and former owners that have stopped.
 func (r *Registrar) takeHoldings(e *entry, request *wire.BeatRequest, now time.Duration) {
 	held := make(map[holding]bool, len(request.GetOwned()))
 	for _, o := range request.GetOwned() {
--- a/controld/internal/registrar/target.go
+++ b/controld/internal/registrar/target.go
@@ -22,7 +22,7 @@
 	owner string
 	epoch uint64
 	// releasing is set while the owner lets requests in progress end before another process takes over. The owner has
-	// let go when it reports releaseVersion or a later one and no longer lists the target.
+	// released when it reports releaseVersion or a later one and no longer lists the target.
 	releasing      bool
 	releaseVersion uint64
 	// claimed is set while the ownership rests on a claim from an earlier leader's time that the process has not
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -78,8 +78,7 @@
 	for _, o := range cfg.Operators {
 		operators = append(operators, console.Operator{Name: o.Name, Token: o.Token})
 	}
-	// Requests have deadlines of their own; the transport's default of one second would cut them off.
-	d.http = khttp.NewServer(khttp.Address(cfg.HTTPAddress), khttp.Timeout(0))
+	d.http = newHTTP(cfg.HTTPAddress)
 	d.http.HandlePrefix(gateway.Prefix, d.gateway)
 	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
 	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
--- /dev/null
+++ b/entryd/http.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+const (
+	// maxHeaderBytes bounds the headers of one request; the standard library allows 1 MiB.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout ends connections that send their headers too slowly, so that they cannot use up all connections.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// newHTTP returns the server of callers, workers, targets and operators.
+func newHTTP(address string) *khttp.Server {
+	// Requests have deadlines of their own; the transport's default of one second would cut them off.
+	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	return server
+}
--- a/entryd/internal/steward/beat.go
+++ b/entryd/internal/steward/beat.go
@@ -41,7 +41,7 @@
 	if reply.GetBeat().GetSendFull() {
 		restore()
 		s.full = true
-		s.Hurry()
+		s.BeatNow()
 	} else {
 		s.listed = listed
 		s.takeGrant(reply.GetBeat(), sentAt)
@@ -73,7 +73,7 @@
 		// A new leader returned what this process claimed, but the earlier leader may have given it to another one
 		// since the lease ended. Without the claim, the leader decides anew.
 		grant.Changed, grant.Owned, version = true, nil, 0
-		s.Hurry()
+		s.BeatNow()
 	}
 	s.cfg.Dispatcher.Take(grant)
 	s.ownershipVersion, s.session, s.stampMs, s.full = version, reply.GetSession(), reply.GetStampMs(), false
--- a/entryd/internal/steward/steward.go
+++ b/entryd/internal/steward/steward.go
@@ -55,7 +55,7 @@
 	cfg     Config
 	state   atomic.Pointer[State]
 	leaving atomic.Bool
-	hurry   chan struct{}
+	wake    chan struct{}
 
 	// Owned by the control thread.
 	config           *wire.Config
@@ -73,7 +73,7 @@
 
 // New returns a Steward that is not current.
 func New(cfg Config) *Steward {
-	s := &Steward{cfg: cfg, config: &wire.Config{}, hurry: make(chan struct{}, 1)}
+	s := &Steward{cfg: cfg, config: &wire.Config{}, wake: make(chan struct{}, 1)}
 	s.publish()
 	return s
 }
@@ -89,16 +89,16 @@
 	return reason.NotCurrent
 }
 
-// Leave tells the leader, with the next beat, that this process gets no more targets and lets go of its own.
+// Leave tells the leader, with the next beat, that this process gets no more targets and releases its own.
 func (s *Steward) Leave() {
 	s.leaving.Store(true)
-	s.Hurry()
+	s.BeatNow()
 }
 
-// Hurry sends the next beat at once.
-func (s *Steward) Hurry() {
+// BeatNow sends the next beat at once.
+func (s *Steward) BeatNow() {
 	select {
-	case s.hurry <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 	}
 }
@@ -113,7 +113,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-s.hurry:
+		case <-s.wake:
 		}
 	}
 }
--- a/standin/internal/targetserver/targetserver.go
+++ b/standin/internal/targetserver/targetserver.go
@@ -46,7 +46,7 @@
 	leaving  atomic.Bool
 	cancel   context.CancelFunc
 	done     chan struct{}
-	hurry    chan struct{}
+	wake     chan struct{}
 }
 
 // Start listens and begins to announce the target.
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Target{
 		cfg: cfg, listener: listener, client: &http.Client{Timeout: announceTimeout}, cancel: cancel,
-		boot: strconv.FormatInt(time.Now().UnixNano(), 16), done: make(chan struct{}), hurry: make(chan struct{}, 1),
+		boot: strconv.FormatInt(time.Now().UnixNano(), 16), done: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
 	go func() { _ = t.server.Serve(listener) }()
@@ -111,7 +111,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-t.hurry:
+		case <-t.wake:
 		}
 	}
 }
@@ -144,7 +144,7 @@
 func (t *Target) Leave() {
 	t.leaving.Store(true)
 	select {
-	case t.hurry <- struct{}{}:
+	case t.wake <- struct{}{}:
 	default:
 	}
 }
