Say when a worker is silent; measure the steady state; one adapter for kratos logs

Cause: a trial with longer intervals had more bytes than one with the default ones. Conclusion of that: the window began while entry processes still reported each target in full after the start. An answer about a task says when its worker has been silent for 3 s and when the task is placed again; before, it called the task running until the lease was over. The two copies of the kratos log adapter are core/kratoslogger. The reason abandoned was never given and is gone. TestSilentWorker covers the answer; it needs the new function and was not run against the old code.

--- a/controld/internal/explainer/explainer_test.go
+++ b/controld/internal/explainer/explainer_test.go
@@ -192,3 +192,16 @@
 	}
 	require.Equal(t, []string{"leader", "silent", "non_voter"}, states)
 }
+
+// TestSilentWorker guards against calling a task running whose worker has not been heard for some seconds.
+func TestSilentWorker(t *testing.T) {
+	e := fixture(t)
+	e.Registrar = registrar.New(registrar.Config{WorkerLease: 10 * time.Second, PollTimeout: 2 * time.Second}, 1,
+		map[string]string{"worker-1": "1"}, nil, 0)
+	e.Now = 2 * time.Second
+	require.NotContains(t, e.explain(e.Cell.Task("web/0")), "silent")
+	e.Now = 5 * time.Second
+	require.Contains(t, e.explain(e.Cell.Task("web/0")),
+		"The worker has been silent for 5s and may have stopped; if it stays silent, its tasks are placed again in 7s.")
+	require.Contains(t, e.workerSentence(e.Cell.Worker("worker-1")), "silent for 5s")
+}
--- a/controld/internal/explainer/hosts.go
+++ b/controld/internal/explainer/hosts.go
@@ -104,7 +104,7 @@
 	case "draining":
 		return "An operator drains it: its tasks move to other workers and it gets no new ones. " + room
 	default:
-		return room
+		return room + e.silenceSentence(w.Name())
 	}
 }
 
--- a/controld/internal/explainer/tasks.go
+++ b/controld/internal/explainer/tasks.go
@@ -167,12 +167,26 @@
 	if t.State() == wire.TaskState_TASK_STATE_PLACED {
 		text = fmt.Sprintf("It is placed on %s since %s; the worker has not reported its start.", where, since)
 	}
+	text += e.silenceSentence(t.Worker())
 	if !t.Stopping() {
 		return text
 	}
 	return text + fmt.Sprintf(" It is asked to stop: %s.", stopText(e.reasonOf(t)))
 }
 
+// silentAfter is how long a worker may be silent before an answer says so; workers poll each second.
+const silentAfter = 3 * time.Second
+
+// silenceSentence says that a worker does not poll, so that nobody takes its tasks for surely running.
+func (e *Explainer) silenceSentence(worker string) string {
+	silent, left, ok := e.Registrar.WorkerSilence(worker, e.Now)
+	if !ok || silent < silentAfter {
+		return ""
+	}
+	return fmt.Sprintf(" The worker has been silent for %s and may have stopped; if it stays silent, its tasks are placed again in %s.",
+		silent.Round(time.Second), max(left, 0).Round(time.Second))
+}
+
 func stopText(why reason.Reason) string {
 	if text, ok := stopSentences[why]; ok {
 		return text
--- a/controld/internal/registrar/registrar.go
+++ b/controld/internal/registrar/registrar.go
@@ -132,13 +132,14 @@
 	return lost
 }
 
-// WorkerUntil returns when a worker's lease runs out unless it polls again.
-func (r *Registrar) WorkerUntil(name string) (time.Duration, bool) {
+// WorkerSilence returns for how long a worker has not polled this leader, and how long from now its lease has surely run
+// out if it stays silent. ok is false for a worker without a lease.
+func (r *Registrar) WorkerSilence(name string, now time.Duration) (silent, left time.Duration, ok bool) {
 	lease := r.workers[name]
-	if lease == nil {
-		return 0, false
+	if lease == nil || lease.over {
+		return 0, 0, false
 	}
-	return lease.until, true
+	return now - (lease.until - r.workerTerm()), lease.until - now, true
 }
 
 // Session identifies this leader towards workers.
--- a/controld/main.go
+++ b/controld/main.go
@@ -22,6 +22,7 @@
 	"flamingodrift.example/controld/internal/settings"
 	"flamingodrift.example/controld/internal/store"
 	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/kratoslogger"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/messenger"
@@ -66,7 +67,7 @@
 		return
 	}
 	log := logger.New(os.Stderr, "controld", cfg.Name)
-	klog.SetLogger(kratosLog{log})
+	klog.SetLogger(kratoslogger.New(log))
 	if err := run(cfg); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -61,7 +61,6 @@
 	LimitReached      Reason = "limit_reached"
 	StalePoll         Reason = "stale_poll"
 	NameInUse         Reason = "name_in_use"
-	Abandoned         Reason = "abandoned"
 )
 
 // Reasons why a running task is stopped.
--- a/core/reason/sets.go
+++ b/core/reason/sets.go
@@ -15,7 +15,6 @@
 		KeyMissing, KeyReused, StillRunning, ClaimsFull, ClaimUnavailable, OutcomeUnknown, AnswerNotKept, AnswerTooLarge,
 		AnswerBroken, RequestTooLarge, RequestInvalid, TargetUnreachable, LeaseEnded, BudgetSpent, Unauthorized, Conflict,
 		ChangeIDReused, SheetOlder, SheetReused, StopsUnconfirmed, NotFound, DiskFull, LimitReached, StalePoll, NameInUse,
-		Abandoned,
 	}
 }
 
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -15,6 +15,7 @@
 
 	"flamingodrift.example/entryd/internal/settings"
 
+	"flamingodrift.example/core/kratoslogger"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
 )
@@ -42,7 +43,7 @@
 		return
 	}
 	log := logger.New(os.Stderr, "entryd", cfg.Name)
-	klog.SetLogger(kratosLog{log})
+	klog.SetLogger(kratoslogger.New(log))
 	if err := run(cfg); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
--- a/standin/internal/surveyor/surveyor.go
+++ b/standin/internal/surveyor/surveyor.go
@@ -21,6 +21,9 @@
 	settleLimit  = 120 * time.Second
 	pollPause    = 500 * time.Millisecond
 	servicesPart = 5
+	// settlePause lets the start pass: while a leader cannot rule out that a target had another owner, entry processes
+	// report the target in full with each beat.
+	settlePause = 15 * time.Second
 )
 
 // Config says what to measure.
@@ -133,7 +136,7 @@
 			return fmt.Errorf("%d of %d tasks run", watcher.RunningTasks(), total)
 		}
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(settlePause)
 	return nil
 }
 
