--- a/entryd/internal/claimer/claimer.go
+++ b/entryd/internal/claimer/claimer.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// settleTimeout bounds how long an answer waits until its end is recorded. After it, recording goes on aside; an
-	// answered request is not kept from its caller because no leader is there.
+	// settleTimeout bounds how long an answer waits until its end is recorded. After it, recording goes on in the
+	// background, so that a caller gets its answer also while no leader can be reached.
 	settleTimeout = time.Second
-	// retryTimeout and retryPause are those of one attempt aside.
+	// retryTimeout and retryPause are those of one attempt in the background.
 	retryTimeout = 5 * time.Second
 	retryPause   = 200 * time.Millisecond
 	// maxPending bounds the ends that wait for a leader. Those above it are recorded as unknown outcomes by the leader
@@ -114,7 +114,7 @@
 	return len(c.pending)
 }
 
-// later sends an end aside, after those that wait already, until a leader answers.
+// later sends an end in the background, after those that wait already, until a leader answers.
 func (c *Claimer) later(end *wire.SettleRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
