Bound the HTTP connections of an entry process

Ruled out: a limit in the listener: it leaves connections unanswered in the kernel's queue, without a reason. Change: above max_connections (1,024) callers' requests are refused with limit_reached, and every connection is closed after its answer, so that their number falls. Before: TestConnectionsAreBounded would not compile without the limiter; it was not run against the old code.

--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -16,6 +16,7 @@
 	"flamingodrift.example/entryd/internal/console"
 	"flamingodrift.example/entryd/internal/dispatcher"
 	"flamingodrift.example/entryd/internal/gateway"
+	"flamingodrift.example/entryd/internal/limiter"
 	"flamingodrift.example/entryd/internal/locator"
 	"flamingodrift.example/entryd/internal/poller"
 	"flamingodrift.example/entryd/internal/retrier"
@@ -70,7 +71,9 @@
 		Leader: leader, Dispatcher: d.dispatcher, Roster: targets, Logger: log,
 	})
 	d.claimer = claimer.New(claimer.Config{Leader: leader, Entry: cfg.Name, Boot: boot})
+	limit := limiter.New(cfg.MaxConnections)
 	d.gateway = gateway.New(gateway.Config{
+		Full:    limit.Full,
 		Control: d.steward, Dispatcher: d.dispatcher, Retrier: retrier.New(), Peers: d.messenger, Clock: d.clock,
 		Claimer: d.claimer, Meter: counters, Logger: log,
 	})
@@ -78,7 +81,7 @@
 	for _, o := range cfg.Operators {
 		operators = append(operators, console.Operator{Name: o.Name, Token: o.Token})
 	}
-	d.http = newHTTP(cfg.HTTPAddress)
+	d.http = newHTTP(cfg.HTTPAddress, limit)
 	d.http.HandlePrefix(gateway.Prefix, d.gateway)
 	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
 	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
--- a/entryd/http.go
+++ b/entryd/http.go
@@ -4,6 +4,8 @@
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"flamingodrift.example/entryd/internal/limiter"
 )
 
 const (
@@ -15,9 +17,10 @@
 )
 
 // newHTTP returns the server of callers, workers, targets and operators.
-func newHTTP(address string) *khttp.Server {
+func newHTTP(address string, limit *limiter.Limiter) *khttp.Server {
 	// Requests have deadlines of their own; the transport's default of one second would cut them off.
-	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0), khttp.Filter(limit.Wrap))
+	server.ConnState = limit.Track
 	server.MaxHeaderBytes = maxHeaderBytes
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
--- a/entryd/http_test.go
+++ b/entryd/http_test.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/entryd/internal/limiter"
 )
 
 // Guards against callers that make an entry process keep headers of any size.
@@ -21,7 +25,7 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := newHTTP(listener.Addr().String())
+	server := newHTTP(listener.Addr().String(), limiter.New(100))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	for _, c := range cases {
@@ -36,3 +40,27 @@
 		})
 	}
 }
+
+// Guards against connections without bound: above it each is closed after its answer, and Full says so meanwhile.
+func TestConnectionsAreBounded(t *testing.T) {
+	limit := limiter.New(1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := newHTTP(listener.Addr().String(), limit)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	get := func() *http.Response {
+		client := http.Client{Transport: &http.Transport{}}
+		response, err := client.Get("http://" + listener.Addr().String() + "/nothing")
+		require.NoError(t, err)
+		// A body that is not read to its end would close the connection.
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response
+	}
+	require.False(t, get().Close)
+	require.False(t, limit.Full())
+	require.True(t, get().Close)
+	require.Eventually(t, func() bool { return !limit.Full() }, 10*time.Second, time.Millisecond)
+}
--- a/entryd/internal/gateway/gateway.go
+++ b/entryd/internal/gateway/gateway.go
@@ -46,8 +46,10 @@
 	Retrier    *retrier.Retrier
 	Peers      Peers
 	Clock      Clock
-	Meter      *meter.Meter
-	Logger     *slog.Logger
+	// Full reports whether too many connections are open; nil means never.
+	Full   func() bool
+	Meter  *meter.Meter
+	Logger *slog.Logger
 }
 
 // Gateway is safe for concurrent use.
@@ -84,11 +86,17 @@
 	defer g.end()
 	var c *call
 	var res *result
-	switch why := g.begin(); why {
+	why := g.begin()
+	if why == reason.None && g.cfg.Full != nil && g.cfg.Full() {
+		why = reason.LimitReached
+	}
+	switch why {
 	case reason.None:
 		c, res = g.handle(w, r)
 	case reason.ShuttingDown:
 		res = notRun(why, "this entry process is shutting down")
+	case reason.LimitReached:
+		res = notRun(why, "this entry process has too many open connections")
 	default:
 		res = notRun(why, "this entry process cannot confirm that its configuration is current")
 	}
--- a/entryd/internal/gateway/harness_test.go
+++ b/entryd/internal/gateway/harness_test.go
@@ -178,6 +178,7 @@
 	control    *control
 	leader     *leader
 	claimer    *claimer.Claimer
+	full       bool
 }
 
 func newSite(t *testing.T, others peers, addresses ...string) *site {
@@ -197,6 +198,7 @@
 	}
 	s.claimer = claimer.New(claimer.Config{Leader: s.leader, Entry: "e1", Boot: "1"})
 	s.gateway = gateway.New(gateway.Config{
+		Full:    func() bool { return s.full },
 		Control: s.control, Dispatcher: s.dispatcher, Claimer: s.claimer, Retrier: retrier.New(), Peers: others,
 		Clock: systemClock{}, Meter: counters, Logger: slog.New(slog.DiscardHandler),
 	})
--- a/entryd/internal/gateway/outcome_test.go
+++ b/entryd/internal/gateway/outcome_test.go
@@ -120,6 +120,7 @@
 		}, post("k1", "x"), "queue_full"},
 		{"deadline before sending", func(*site) {}, first(within(post("k1", "x"), 0)), "deadline_exceeded"},
 		{"not current", func(s *site) { s.control.why = reason.NotCurrent }, first(post("k1", "x")), "not_current"},
+		{"too many connections", func(s *site) { s.full = true }, first(post("k1", "x")), "limit_reached"},
 		{"shutting down", func(s *site) { s.gateway.Close() }, first(post("k1", "x")), "shutting_down"},
 		{"no key", func(*site) {}, post("", "x"), "key_missing"},
 		{"body too large", func(*site) {}, post("k1", strings.Repeat("x", 1<<20+1)), "request_too_large"},
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -30,9 +30,11 @@
 	PollBatchMs   int `json:"poll_batch_ms"`
 	PollTimeoutMs int `json:"poll_timeout_ms"`
 	// DrainMs is how long requests are still accepted after SIGTERM, until the balancer has noticed.
-	DrainMs       int `json:"drain_ms"`
-	StopMs        int `json:"stop_ms"`
-	MemoryLimitMB int `json:"memory_limit_mb"`
+	DrainMs int `json:"drain_ms"`
+	StopMs  int `json:"stop_ms"`
+	// MaxConnections bounds the open HTTP connections; above it requests are refused and their connections closed.
+	MaxConnections int `json:"max_connections"`
+	MemoryLimitMB  int `json:"memory_limit_mb"`
 }
 
 // Operator may use the operators' API.
@@ -49,6 +51,7 @@
 		{Path: "poll_timeout_ms", Value: &s.PollTimeoutMs, Standard: 1_800, Lowest: 50, Highest: 60_000},
 		{Path: "drain_ms", Value: &s.DrainMs, Standard: 2_000, Lowest: 1, Highest: 60_000},
 		{Path: "stop_ms", Value: &s.StopMs, Standard: 15_000, Lowest: 100, Highest: 600_000},
+		{Path: "max_connections", Value: &s.MaxConnections, Standard: 1_024, Lowest: 16, Highest: 65_536},
 		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Standard: 28, Lowest: 16, Highest: 4_096},
 	}
 }
