Remove what stood twice and work done twice, found by reading the whole change

Cause: a read of the whole diff. The conversion of durations and of an address to its IP number stood in both settings packages; the choice of the next outdated task stood in planner and baseline; each daemon built its logger three times; each poll at the leader compared capacities through two messages and a renewal copied all its tasks. Ruled out: one settings package for both daemons (their keys differ); mending the twin tables of the two settings tests and the copy of each report for its fingerprint, which are noted instead. Change: loader.Milliseconds; messenger takes the address that it derives the IP number from; Job.NextOutdated; one logger passed on; capacities are compared as values; a renewal shares the tasks of the full report, which nobody changes. Behaviour and tests are unchanged. Conclusion: each of these is written once.

--- a/controld/internal/baseline/baseline.go
+++ b/controld/internal/baseline/baseline.go
@@ -109,7 +109,7 @@
 // stopOutdated replaces one task of a changed job at a time and empties draining workers.
 func (p *Planner) stopOutdated(c *cell.Cell, d *wire.Decisions) {
 	for _, j := range c.Jobs() {
-		if t := nextOutdated(j); t != nil {
+		if t := j.NextOutdated(); t != nil {
 			d.Stops = append(d.Stops, &wire.TaskStop{Task: t.ID(), Reason: reason.SpecChanged.String()})
 		}
 	}
@@ -125,19 +125,6 @@
 	}
 }
 
-func nextOutdated(j *job.Job) *job.Task {
-	var next *job.Task
-	for _, t := range j.Tasks() {
-		switch {
-		case t.Stopping() || t.Waiting():
-			return nil
-		case next == nil && t.Outdated():
-			next = t
-		}
-	}
-	return next
-}
-
 func (p *Planner) placeJob(j *job.Job, workers []*worker.Worker, free map[string]resource.Vector, d *wire.Decisions) reason.Reason {
 	if j.Held() {
 		return reason.JobHeld
--- a/controld/internal/controller/reports.go
+++ b/controld/internal/controller/reports.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"flamingodrift.example/controld/internal/job"
 	"flamingodrift.example/controld/internal/resource"
 	"flamingodrift.example/controld/internal/worker"
@@ -61,11 +59,9 @@
 
 func registered(w *worker.Worker, report *wire.WorkerReport) bool {
 	return w != nil && !w.Lost() && w.Boot() == report.GetBoot() && w.Rack() == report.GetRack() &&
-		w.FailureDomain() == report.GetFailureDomain() && proto.Equal(w.Capacity().Message(), withZeros(report.GetCapacity()))
+		w.FailureDomain() == report.GetFailureDomain() && w.Capacity() == resource.New(report.GetCapacity())
 }
 
-func withZeros(r *wire.Resources) *wire.Resources { return resource.New(r).Message() }
-
 // note queues a worker event for the log, unless the same one is on its way.
 func (c *Controller) note(event *wire.WorkerEvent) {
 	mark := eventMark(event)
--- a/controld/internal/job/job.go
+++ b/controld/internal/job/job.go
@@ -284,6 +284,21 @@
 	return slices.Compact(workers)
 }
 
+// NextOutdated returns the task to replace next because the row has changed: one at a time, and none while another is
+// stopping or waiting. It returns nil when there is none.
+func (j *Job) NextOutdated() *Task {
+	var next *Task
+	for _, t := range j.tasks {
+		switch {
+		case t.Stopping() || t.Waiting():
+			return nil
+		case next == nil && t.Outdated():
+			next = t
+		}
+	}
+	return next
+}
+
 // HasOutdated reports whether a running task was started from an older row.
 func (j *Job) HasOutdated() bool {
 	return j.generation > 1 && slices.ContainsFunc(j.tasks, (*Task).Outdated)
--- a/controld/internal/planner/drain.go
+++ b/controld/internal/planner/drain.go
@@ -17,25 +17,12 @@
 			}
 			continue
 		}
-		if t := nextOutdated(j); t != nil {
+		if t := j.NextOutdated(); t != nil {
 			r.stop(t, reason.SpecChanged, false)
 		}
 	}
 }
 
-func nextOutdated(j *job.Job) *job.Task {
-	var next *job.Task
-	for _, t := range j.Tasks() {
-		switch {
-		case t.Stopping() || t.Waiting():
-			return nil
-		case next == nil && t.Outdated():
-			next = t
-		}
-	}
-	return next
-}
-
 // emptyDraining stops a few tasks of each draining worker at a time. A run that must not start twice is left to end. A
 // service task stops only when none of its job is missing and there is room for its replacement elsewhere.
 func (r *round) emptyDraining() {
--- a/controld/internal/registrar/renewal.go
+++ b/controld/internal/registrar/renewal.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"flamingodrift.example/core/fingerprint"
 	"flamingodrift.example/core/wire"
 )
@@ -20,6 +18,15 @@
 	report *wire.WorkerReport
 }
 
+// renewed returns the report as it reads with a later poll. It shares the tasks with the full report, which nobody
+// changes: a copy of them for each of several hundred polls a second would be wasted.
+func (l *lastReport) renewed(poll, session uint64) *wire.WorkerReport {
+	return &wire.WorkerReport{
+		Worker: l.report.GetWorker(), Boot: l.report.GetBoot(), Poll: poll, Session: session, Capacity: l.report.GetCapacity(),
+		Rack: l.report.GetRack(), FailureDomain: l.report.GetFailureDomain(), Tasks: l.report.GetTasks(),
+	}
+}
+
 // renewals recognises polls that repeat a worker's newest full report.
 type renewals struct {
 	workers map[string]*lastReport
@@ -46,9 +53,7 @@
 			reply.UnknownHandles = append(reply.UnknownHandles, handle)
 			continue
 		}
-		report := proto.Clone(last.report).(*wire.WorkerReport)
-		report.Poll, report.Session = polls[i], r.term
-		reports = append(reports, report)
+		reports = append(reports, last.renewed(polls[i], r.term))
 	}
 	return reports
 }
--- a/controld/main.go
+++ b/controld/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"runtime/debug"
@@ -68,7 +69,7 @@
 	}
 	log := logger.New(os.Stderr, "controld", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(cfg); err != nil {
+	if err := run(cfg, log); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
 	}
@@ -87,14 +88,13 @@
 	store      *store.Store
 }
 
-func run(cfg *settings.Settings) error {
+func run(cfg *settings.Settings, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
-	d, err := assemble(cfg)
+	d, err := assemble(cfg, log)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.store.Close() }()
-	log := logger.New(os.Stderr, "controld", cfg.Name)
 	app := kratos.New(
 		kratos.Name("controld"),
 		kratos.Server(d.health, &service{daemon: d}),
@@ -115,7 +115,7 @@
 	return nil
 }
 
-func assemble(cfg *settings.Settings) (*daemon, error) {
+func assemble(cfg *settings.Settings, log *slog.Logger) (*daemon, error) {
 	data, contents, err := store.Open(cfg.DataFolder)
 	if err != nil {
 		return nil, oops.In("store").With("data_folder", cfg.DataFolder).Wrapf(err, "open data folder")
@@ -126,19 +126,19 @@
 	}
 	var srv *server.Server
 	mailer := messenger.New(messenger.Config{
-		Token: cfg.CellToken, LocalAddress: settings.IP(cfg.Address),
+		Token: cfg.CellToken, LocalAddress: cfg.Address,
 		Handler: func(ctx context.Context, request *wire.Request) *wire.Reply {
 			return srv.Handle(ctx, request)
 		},
 	})
 	ctl, err := controller.New(controller.Config{
 		Member: member(cfg), Peers: cfg.Peers, Voters: cfg.Voters, Store: data, Contents: contents, Clock: clock.New(),
-		Messenger: mailer, Logger: logger.New(os.Stderr, "controld", cfg.Name), Meter: counters,
-		Heartbeat:   settings.Duration(cfg.HeartbeatMs),
-		ElectionMin: settings.Duration(cfg.ElectionMinMs), ElectionMax: settings.Duration(cfg.ElectionMaxMs),
+		Messenger: mailer, Logger: log, Meter: counters,
+		Heartbeat:   loader.Milliseconds(cfg.HeartbeatMs),
+		ElectionMin: loader.Milliseconds(cfg.ElectionMinMs), ElectionMax: loader.Milliseconds(cfg.ElectionMaxMs),
 		Registrar: registrar.Config{
-			WorkerLease: settings.Duration(cfg.WorkerLeaseMs), PollTimeout: settings.Duration(cfg.PollTimeoutMs),
-			EntryLease: settings.Duration(cfg.EntryLeaseMs), TargetSilence: settings.Duration(cfg.TargetSilentMs),
+			WorkerLease: loader.Milliseconds(cfg.WorkerLeaseMs), PollTimeout: loader.Milliseconds(cfg.PollTimeoutMs),
+			EntryLease: loader.Milliseconds(cfg.EntryLeaseMs), TargetSilence: loader.Milliseconds(cfg.TargetSilentMs),
 			DriftPercent: driftPercent,
 		},
 		Planner: planner.Config{},
--- a/core/loader/loader.go
+++ b/core/loader/loader.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/tailscale/hujson"
 )
@@ -19,6 +20,9 @@
 // Hidden stands in problems for the value of a token.
 const Hidden = "(not shown)"
 
+// Milliseconds converts a setting in milliseconds.
+func Milliseconds(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
 // Problem is one wrong value in a settings file.
 type Problem struct {
 	// Path of the value, for example "peers[2].address".
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -57,7 +58,8 @@
 type Config struct {
 	// Token is shared by all processes of a cell; a session with another token is refused.
 	Token string
-	// LocalAddress is the IP number that outgoing connections use; empty lets the system choose.
+	// LocalAddress is the address that this process listens on; outgoing connections use its IP number. Empty lets the
+	// system choose.
 	LocalAddress string
 	Handler      Handler
 	// KeepAlive is the interval at which a session is probed, and how long a probe may take; 0 is 2 s. A session that was
@@ -223,8 +225,8 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dialer := net.Dialer{}
-	if m.cfg.LocalAddress != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(m.cfg.LocalAddress)}
+	if local, err := netip.ParseAddrPort(m.cfg.LocalAddress); err == nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.Addr().AsSlice()}
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -25,7 +26,7 @@
 	"flamingodrift.example/entryd/internal/steward"
 
 	"flamingodrift.example/core/clock"
-	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/reason"
@@ -49,25 +50,24 @@
 	done     chan struct{}
 }
 
-func assemble(cfg *settings.Settings) (*daemon, error) {
+func assemble(cfg *settings.Settings, log *slog.Logger) (*daemon, error) {
 	counters, err := meter.New("entryd")
 	if err != nil {
 		return nil, err
 	}
-	log := logger.New(os.Stderr, "entryd", cfg.Name)
 	d := &daemon{done: make(chan struct{})}
 	d.messenger = messenger.New(messenger.Config{
-		Token: cfg.CellToken, LocalAddress: settings.IP(cfg.Address), Handler: d.handle,
+		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle,
 	})
 	boot := fmt.Sprintf("%016x-%d", time.Now().UnixNano(), os.Getpid())
 	leader := locator.New(locator.Config{Messenger: d.messenger, Controls: cfg.Controls})
 	d.dispatcher = dispatcher.New(dispatcher.Config{Clock: d.clock, Logger: log})
 	targets := roster.New(roster.Config{
-		Renew: settings.Duration(cfg.BeatMs), Clock: d.clock, Leaving: d.dispatcher.Leaving,
+		Renew: loader.Milliseconds(cfg.BeatMs), Clock: d.clock, Leaving: d.dispatcher.Leaving,
 	})
 	d.steward = steward.New(steward.Config{
 		Name: cfg.Name, Boot: boot, Address: cfg.AdvertiseAddress, FailureDomain: cfg.FailureDomain,
-		Beat: settings.Duration(cfg.BeatMs), Currency: settings.Duration(cfg.CurrencyMs), Clock: d.clock,
+		Beat: loader.Milliseconds(cfg.BeatMs), Currency: loader.Milliseconds(cfg.CurrencyMs), Clock: d.clock,
 		Leader: leader, Dispatcher: d.dispatcher, Roster: targets, Logger: log,
 	})
 	d.claimer = claimer.New(claimer.Config{Leader: leader, Entry: cfg.Name, Boot: boot})
@@ -86,7 +86,7 @@
 	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
 	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
 	d.http.HandlePrefix("/platform/v1/workers/poll", poller.New(poller.Config{
-		Leader: leader, Entry: cfg.Name, Batch: settings.Duration(cfg.PollBatchMs), Timeout: settings.Duration(cfg.PollTimeoutMs),
+		Leader: leader, Entry: cfg.Name, Batch: loader.Milliseconds(cfg.PollBatchMs), Timeout: loader.Milliseconds(cfg.PollTimeoutMs),
 	}))
 	d.http.HandlePrefix("/metrics", counters.Handler())
 	d.http.HandlePrefix("/healthz", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -3,8 +3,6 @@
 
 import (
 	"fmt"
-	"net/netip"
-	"time"
 
 	"flamingodrift.example/core/checker"
 	"flamingodrift.example/core/loader"
@@ -96,15 +94,3 @@
 		names[o.Name], tokens[o.Token] = true, true
 	}
 }
-
-// Duration converts a setting in milliseconds.
-func Duration(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-// IP returns the IP number of an address, from which connections to other processes are made.
-func IP(address string) string {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return ""
-	}
-	return parsed.Addr().String()
-}
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"runtime/debug"
@@ -44,30 +45,29 @@
 	}
 	log := logger.New(os.Stderr, "entryd", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(cfg); err != nil {
+	if err := run(cfg, log); err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
 	}
 }
 
-func run(cfg *settings.Settings) error {
+func run(cfg *settings.Settings, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
-	d, err := assemble(cfg)
+	d, err := assemble(cfg, log)
 	if err != nil {
 		return err
 	}
-	log := logger.New(os.Stderr, "entryd", cfg.Name)
 	app := kratos.New(
 		kratos.Name("entryd"),
 		kratos.Server(d.http, d),
-		kratos.StopTimeout(settings.Duration(cfg.StopMs)),
+		kratos.StopTimeout(loader.Milliseconds(cfg.StopMs)),
 		kratos.AfterStart(func(context.Context) error {
 			logger.Started.Log(log, "address", cfg.Address, "http_address", cfg.HTTPAddress)
 			return nil
 		}),
 		kratos.BeforeStop(func(context.Context) error {
 			logger.ShutdownStarted.Log(log)
-			if !d.drain(settings.Duration(cfg.DrainMs), settings.Duration(cfg.StopMs)) {
+			if !d.drain(loader.Milliseconds(cfg.DrainMs), loader.Milliseconds(cfg.StopMs)) {
 				logger.ShutdownTimedOut.Log(log, "requests_in_progress", d.gateway.Active())
 			}
 			return nil
