--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := core controld entryd flamingoctl standin
-PROGRAMS := controld entryd flamingoctl standin
+MODULES := core platform controld entryd frontd flamingoctl standin
+PROGRAMS := controld entryd frontd flamingoctl standin
 GOLANGCI_LINT_VERSION := v2.15.0
 LINT := $(shell go env GOPATH)/bin/golangci-lint
 
@@ -28,7 +28,7 @@
 
 # The programs are linked to the C library, as the platform expects.
 linked: build
-	@for p in controld entryd; do ldd build/$$p | grep -q libc.so || { echo "$$p is not linked to the C library"; exit 1; }; done
+	@for p in controld entryd frontd; do ldd build/$$p | grep -q libc.so || { echo "$$p is not linked to the C library"; exit 1; }; done
 
 # The tests of standin run the built programs, which the test cache does not see.
 unit: build
--- /dev/null
+++ b/controld/internal/batch/snapshot.go
@@ -0,0 +1,106 @@
+package batch
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"flamingodrift.example/core/wire"
+)
+
+// State encodes the aggregate for a snapshot.
+func (b *Batch) State() *wire.BatchState {
+	state := &wire.BatchState{Config: b.config, Accepted: b.accepted}
+	for _, name := range slices.Sorted(maps.Keys(b.queues)) {
+		state.RetiredQueues = append(state.RetiredQueues, b.queues[name])
+	}
+	for _, worker := range slices.Sorted(maps.Keys(b.lives)) {
+		report := b.lives[worker].report
+		if report.GetDraining() != b.lives[worker].draining {
+			report = &wire.WorkerLife{
+				Worker: worker, BornUnixMs: report.GetBornUnixMs(), Address: report.GetAddress(), Pool: report.GetPool(),
+				FailureDomain: report.GetFailureDomain(), CpuMillis: report.GetCpuMillis(), MemoryMb: report.GetMemoryMb(),
+				Gpus: report.GetGpus(), Labels: report.GetLabels(), Rack: report.GetRack(), Draining: true,
+			}
+		}
+		state.Workers = append(state.Workers, report)
+	}
+	for _, j := range b.jobs {
+		state.Jobs = append(state.Jobs, j.state())
+	}
+	slices.SortFunc(state.Jobs, func(a, b *wire.BatchJobState) int { return cmp.Compare(a.GetOrder(), b.GetOrder()) })
+	return state
+}
+
+func (j *Job) state() *wire.BatchJobState {
+	state := &wire.BatchJobState{Job: j.spec, Phase: j.phase, Order: j.order}
+	if j.Ended() && j.held == 0 {
+		// Only the outcome of an ended job is asked for.
+		state.Job = &wire.SubmittedJob{Id: j.spec.GetId(), Queue: j.spec.GetQueue()}
+		return state
+	}
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.run == 0 && !t.done {
+				continue
+			}
+			record := &wire.BatchTaskState{
+				Step: uint32(s.number), Index: uint32(t.index), Run: uint32(t.run), Failures: uint32(s.failures(t)),
+				Done: t.done, Checkpoint: t.checkpoint, FailedOn: t.failedOn, LastFailed: uint32(s.lastFailed),
+			}
+			if t.life != nil {
+				record.Worker, record.BornUnixMs = t.life.worker, t.life.born
+			}
+			state.Tasks = append(state.Tasks, record)
+		}
+	}
+	return state
+}
+
+// Restore decodes a Batch from a snapshot; nil is an empty one.
+func Restore(state *wire.BatchState) *Batch {
+	b := New()
+	b.accepted = state.GetAccepted()
+	for _, q := range state.GetRetiredQueues() {
+		b.queues[q.GetName()] = q
+	}
+	if state.GetConfig() != nil {
+		b.configure(state.GetConfig())
+	}
+	for _, report := range state.GetWorkers() {
+		b.lives[report.GetWorker()] = newLife(report)
+	}
+	for _, s := range state.GetJobs() {
+		j := newJob(s.GetJob(), b.queues[s.GetJob().GetQueue()], s.GetOrder())
+		j.phase = s.GetPhase()
+		b.jobs[j.ID()] = j
+		for _, t := range s.GetTasks() {
+			b.restoreTask(j, t)
+		}
+		if !j.Ended() || j.held > 0 {
+			b.active = append(b.active, j)
+		}
+	}
+	return b
+}
+
+func (b *Batch) restoreTask(j *Job, record *wire.BatchTaskState) {
+	s := j.steps[record.GetStep()]
+	t := s.tasks[record.GetIndex()]
+	t.run, t.checkpoint, t.failedOn = int(record.GetRun()), record.GetCheckpoint(), record.GetFailedOn()
+	if s.spec.GetGang() {
+		s.failedRuns = int(record.GetFailures())
+		s.lastFailed = int(record.GetLastFailed())
+	} else {
+		t.failures = int(record.GetFailures())
+	}
+	if record.GetDone() {
+		t.done = true
+		s.done++
+	}
+	if life := b.lives[record.GetWorker()]; record.GetWorker() != "" && life != nil && life.born == record.GetBornUnixMs() {
+		life.take(t)
+		t.life = life
+		j.held++
+	}
+}
--- a/controld/internal/cell/cell.go
+++ b/controld/internal/cell/cell.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/change"
 	"flamingodrift.example/controld/internal/claim"
 	"flamingodrift.example/controld/internal/job"
@@ -54,6 +55,7 @@
 	finished    map[runHash]int64
 	index       index
 	limits      Limits
+	batch       *batch.Batch
 }
 
 // runHash is the first half of the SHA-256 of a job id; a full id would take several times the memory.
@@ -85,10 +87,14 @@
 		changes:  change.New(),
 		finished: map[runHash]int64{},
 		index:    newIndex(),
+		batch:    batch.New(),
 	}
 }
 
-// Apply executes one command of the log.
+// Batch returns the jobs that callers submitted to queues, and their workers.
+func (c *Cell) Batch() *batch.Batch { return c.batch }
+
+// Apply executes one command of the log. Commands for queues go to the Batch.
 func (c *Cell) Apply(command *wire.Command) *wire.Result {
 	now := command.GetNowUnixMs()
 	switch command.GetBody().(type) {
--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"flamingodrift.example/controld/internal/cell"
+	"flamingodrift.example/controld/internal/foreman"
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
 	"flamingodrift.example/controld/internal/store"
@@ -41,6 +42,8 @@
 	diskReserve       = 32 << 20
 	diskCheckInterval = time.Second
 	diskFullBackoff   = time.Second
+	// reloadPause is how soon a data folder is read again whose disk refused every write.
+	reloadPause = 200 * time.Millisecond
 )
 
 // Config holds what a Controller needs.
@@ -67,6 +70,8 @@
 	Rand      *rand.Rand
 	Registrar registrar.Config
 	Planner   planner.Config
+	// Queues is set where callers submit jobs to queues; nil leaves that part out.
+	Queues *QueueConfig
 }
 
 // Clock is monotonic time that also counts while the process is stopped.
@@ -97,6 +102,8 @@
 	reg   *registrar.Registrar
 	plan  *planner.Planner
 	tally *tally.Tally
+	// foreman carries out the duties for submitted jobs; nil without queues.
+	foreman *foreman.Foreman
 	// checkpoints holds when a checkpoint of a stopping attempt was first asked for.
 	checkpoints map[uint64]time.Duration
 	deciding    bool
@@ -119,9 +126,14 @@
 	stopBy     time.Duration
 	handedOver bool
 
+	// stopped is closed when the control thread has ended.
+	stopped chan struct{}
+
 	status atomic.Pointer[Status]
 	// async runs a call that blocks, beside the control thread.
 	async func(call func())
+	// pause waits on the control thread.
+	pause func(time.Duration)
 }
 
 // Status is a copy of the node's state for health answers.
@@ -154,7 +166,7 @@
 	c := &Controller{
 		cfg: cfg, queue: make(chan event, queueLength), waiters: map[uint64]waiter{},
 		addressBook: map[string]string{}, cell: cell.New(),
-		async: func(call func()) { go call() },
+		async: func(call func()) { go call() }, stopped: make(chan struct{}), pause: time.Sleep,
 	}
 	c.status.Store(&Status{Role: "follower"})
 	if cfg.Contents.State != nil {
@@ -184,6 +196,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	ticker := time.NewTicker(c.cfg.Heartbeat / ticksPerHeartbeat)
 	defer ticker.Stop()
+	defer close(c.stopped)
 	defer c.failWaiters()
 	stop := ctx.Done()
 	for {
@@ -291,8 +304,7 @@
 			if err := proto.Unmarshal(entry.GetData(), command); err != nil {
 				return fmt.Errorf("entry %d does not decode: %w", entry.GetIndex(), err)
 			}
-			result = c.cell.Apply(command)
-			c.noteApplied(command)
+			result = c.apply(command)
 		case wire.EntryKind_ENTRY_KIND_MEMBERSHIP:
 			logger.MemberChanged.Log(c.cfg.Logger, "index", entry.GetIndex())
 		default:
--- a/controld/internal/controller/disk.go
+++ b/controld/internal/controller/disk.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flamingodrift.example/controld/internal/cell"
+	"flamingodrift.example/controld/internal/store"
 	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/reason"
@@ -43,7 +44,7 @@
 func (c *Controller) reopen() error {
 	now := c.cfg.Clock.Now()
 	c.blockedTill = now + diskFullBackoff
-	contents, err := c.cfg.Store.Reload()
+	contents, err := c.reload()
 	if err != nil {
 		return err
 	}
@@ -64,6 +65,18 @@
 	return nil
 }
 
+// reload reads the data folder. It blocks the control thread while the disk refuses every write: without its data
+// folder this node must not take part in anything.
+func (c *Controller) reload() (*store.Contents, error) {
+	for {
+		contents, err := c.cfg.Store.Reload()
+		if !errors.Is(err, journal.ErrDiskFull) {
+			return contents, err
+		}
+		c.pause(reloadPause)
+	}
+}
+
 // refuseUnwritten answers every proposal after a full disk. Those that are not in the journal were not accepted.
 func (c *Controller) refuseUnwritten() {
 	for index, w := range c.waiters {
--- a/controld/internal/controller/event.go
+++ b/controld/internal/controller/event.go
@@ -88,6 +88,12 @@
 		e.read(now, c.view())
 	case changeEvent:
 		c.handleChange(e, now)
+	case queueEvent:
+		c.whileLeading(now, e.reply, func() { c.handleQueue(e, now) })
+	case foremanEvent:
+		if c.foreman == e.foreman && c.foreman != nil {
+			e.tell(now)
+		}
 	}
 }
 
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -50,6 +50,7 @@
 	for _, m := range c.repl.Membership().GetMembers() {
 		c.seenAlive[m.GetId()] = now
 	}
+	c.startQueues(now)
 	logger.LeaderStarted.Log(c.cfg.Logger, "term", c.repl.Term())
 }
 
@@ -58,7 +59,7 @@
 		return
 	}
 	c.leads = false
-	c.reg, c.plan, c.workerBatch, c.pending = nil, nil, nil, nil
+	c.reg, c.plan, c.workerBatch, c.pending, c.foreman = nil, nil, nil, nil, nil
 	logger.LeaderStopped.Log(c.cfg.Logger, "term", c.leadingTerm)
 }
 
@@ -71,6 +72,7 @@
 	c.expireLeases(now)
 	c.proposeWorkerEvents(now)
 	c.proposeDecisions(now)
+	c.leadQueues(now)
 	if count := c.cell.Claims().Expired(expireBatch, time.Now().UnixMilli()); count > 0 && !c.pending["expire"] {
 		c.pending["expire"] = true
 		command := &wire.Command{Body: &wire.Command_ExpireClaims{ExpireClaims: &wire.ExpireClaims{Count: uint32(count)}}}
--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	joinInterval = time.Second
+	joinInterval = 300 * time.Millisecond
 	joinTimeout  = 900 * time.Millisecond
+	// replaceAfter is how long a voter must be silent before a caught-up non-voter takes its place. Freezes and cuts of a
+	// few seconds are over by then.
+	replaceAfter = 7 * time.Second
 	// nameSilenceElections is how many election timeouts a member must be silent before another data folder may take its
 	// name: 10 s with the default settings.
 	nameSilenceElections = 5
@@ -118,7 +121,8 @@
 		return
 	}
 	for _, m := range c.repl.Membership().GetMembers() {
-		if m.GetName() == e.member.GetName() && c.recentlyHeard(m.GetId(), now) {
+		// Two processes cannot listen on one address, so the older data folder there is lost.
+		if m.GetName() == e.member.GetName() && m.GetAddress() != e.member.GetAddress() && c.recentlyHeard(m.GetId(), now) {
 			e.reply(refused(&wire.Refusal{
 				Reason: reason.NameInUse.String(), Detail: "member " + m.GetName() + " is alive with another data folder",
 			}))
@@ -169,7 +173,33 @@
 			c.proposeMembers(now, promoted(members, m.GetId()))
 			return
 		}
+		if silent := c.replaceable(members, now); silent != "" {
+			logger.MemberReplaced.Log(c.cfg.Logger, "silent", silent, "successor", m.GetName())
+			c.proposeMembers(now, without(members, silent))
+			return
+		}
+	}
+}
+
+// replaceable returns a voter that has been silent for so long that a caught-up non-voter should take its place; empty
+// when there is none.
+func (c *Controller) replaceable(members []*wire.Member, now time.Duration) string {
+	if c.cfg.Queues == nil {
+		return ""
+	}
+	for _, m := range members {
+		if !m.GetVoter() || m.GetId() == c.repl.ID() {
+			continue
+		}
+		_, heard, acked := c.repl.MatchIndex(m.GetId())
+		if !acked {
+			heard = c.seenAlive[m.GetId()]
+		}
+		if now-heard > replaceAfter {
+			return m.GetId()
+		}
 	}
+	return ""
 }
 
 // caughtUp reports whether a member has nearly all of the log and answered within the election timeout.
--- /dev/null
+++ b/controld/internal/foreman/decide.go
@@ -0,0 +1,277 @@
+package foreman
+
+import (
+	"time"
+
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
+)
+
+const (
+	// provenStreak is how many runs in a row may fail before a worker has to prove itself again.
+	provenStreak = 2
+	// failingPause is how long a worker that fails its runs gets no work, for each failure above provenStreak.
+	failingPause = 2 * time.Second
+	longestPause = 8 * time.Second
+)
+
+// speed is how fast a worker has been against the estimates of the jobs.
+type speed struct {
+	ratio float64
+	count int
+}
+
+// suits reports whether a worker may run a step by what both say of themselves.
+func suits(step *batch.Step, life *batch.Life) bool {
+	if life.Report().GetPool() != step.Job().Queue().GetPool() {
+		return false
+	}
+	need := step.Spec().GetLabel()
+	if need == "" {
+		return true
+	}
+	for _, label := range life.Report().GetLabels() {
+		if label == need {
+			return true
+		}
+	}
+	return false
+}
+
+// round is the input of one decision with the handles to read its outcome.
+type round struct {
+	now      time.Duration
+	sessions []*session
+	index    map[*batch.Life]int
+	workers  []allocator.Worker
+	steps    []*batch.Step
+	demands  []allocator.Demand
+	reclaim  []*batch.Task
+}
+
+// decide returns the placements of one round.
+func (f *Foreman) decide(now time.Duration) []*wire.RunPlacement {
+	r := &round{now: now, index: map[*batch.Life]int{}}
+	f.addDemands(r)
+	if len(r.steps) == 0 {
+		return nil
+	}
+	plan := f.alloc.Decide(r.workers, r.demands)
+	for _, handle := range plan.Preempt {
+		t := r.reclaim[handle]
+		logger.RunPreempted.Log(f.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
+			"run", t.Run(), "worker", t.Life().Worker())
+		f.stopTask(t, now)
+	}
+	for _, d := range plan.NeedConsent {
+		if policy := r.steps[d].Job().Queue().GetConsent(); policy != nil {
+			f.ask(r.steps[d], policy, true, now)
+		}
+	}
+	for _, d := range plan.Blocked {
+		if policy := r.steps[d].Job().Queue().GetConsent(); policy != nil {
+			f.ask(r.steps[d], policy, false, now)
+		}
+	}
+	placements := make([]*wire.RunPlacement, 0, len(plan.Placements))
+	for _, p := range plan.Placements {
+		step, life := r.steps[p.Demand], r.sessions[p.Worker].life
+		task := step.Tasks()[p.Task]
+		placements = append(placements, &wire.RunPlacement{
+			Job: step.Job().ID(), Step: uint32(step.Number()), Index: uint32(p.Task), Run: uint32(step.NextRun(task)),
+			Worker: life.Worker(), BornUnixMs: life.Born(),
+		})
+	}
+	return placements
+}
+
+func (f *Foreman) addWorkers(r *round) {
+	for _, s := range f.sessions {
+		if !f.usable(s, r.now) {
+			continue
+		}
+		r.index[s.life] = len(r.sessions)
+		r.sessions = append(r.sessions, s)
+		w := allocator.Worker{
+			Room: s.life.Room(), Free: s.life.Free(), Rack: s.life.Report().GetRack(), Speed: f.speedOf(s.life.Worker()),
+			Unproven: s.streak >= provenStreak,
+		}
+		for t, run := range s.runs {
+			switch {
+			case run.ending || run.stopping:
+				w.Stopping = w.Stopping.Add(t.Step().Need())
+			case run.confirmed && t.Step().Spec().GetCheckpoints() && !t.Step().Spec().GetGang():
+				w.Reclaimable = append(w.Reclaimable, allocator.Reclaimable{
+					Run: len(r.reclaim), Priority: int(t.Step().Job().Queue().GetPriority()), Need: t.Step().Need(),
+				})
+				r.reclaim = append(r.reclaim, t)
+			default:
+			}
+		}
+		r.workers = append(r.workers, w)
+	}
+}
+
+func (f *Foreman) addDemands(r *round) {
+	for _, j := range f.batch.Active() {
+		if j.Ended() {
+			continue
+		}
+		for _, step := range j.Steps() {
+			if !step.Ready() {
+				continue
+			}
+			tasks := waitingTasks(step)
+			if len(tasks) == 0 {
+				continue
+			}
+			if r.sessions == nil {
+				f.addWorkers(r)
+			}
+			f.addDemand(r, step, tasks)
+		}
+	}
+}
+
+// waitingTasks returns the tasks that may be placed; of a gang all or none.
+func waitingTasks(step *batch.Step) []*batch.Task {
+	var tasks []*batch.Task
+	for _, t := range step.Tasks() {
+		if t.Waiting() {
+			tasks = append(tasks, t)
+		}
+	}
+	if step.Spec().GetGang() && len(tasks) < len(step.Tasks()) {
+		return nil
+	}
+	return tasks
+}
+
+func (f *Foreman) addDemand(r *round, step *batch.Step, tasks []*batch.Task) {
+	queue, spec := step.Job().Queue(), step.Spec()
+	if policy := queue.GetConsent(); policy != nil && len(f.consent(step).granted) == 0 {
+		f.ask(step, policy, false, r.now)
+		return
+	}
+	d := allocator.Demand{
+		Priority: int(queue.GetPriority()), Need: step.Need(), Gang: spec.GetGang(), OneRack: spec.GetOneRack(),
+		DataRack: spec.GetDataRack(), MostPerWorker: int(spec.GetMostPerWorker()),
+	}
+	d.Urgency, d.Hopeless = f.urgency(step, r.now)
+	for _, t := range tasks {
+		task := allocator.Task{Index: t.Index(), Last: t.FailuresLeft() <= 1}
+		for i, s := range r.sessions {
+			if t.FailedOn(s.life.Worker()) {
+				task.Avoid = append(task.Avoid, i)
+			}
+		}
+		d.Tasks = append(d.Tasks, task)
+	}
+	d.Candidates = f.candidates(r, step)
+	r.steps = append(r.steps, step)
+	r.demands = append(r.demands, d)
+}
+
+func (f *Foreman) candidates(r *round, step *batch.Step) []allocator.Candidate {
+	holding := map[int]int{}
+	if step.Spec().GetMostPerWorker() > 0 {
+		for _, t := range step.Tasks() {
+			if t.Life() != nil {
+				holding[r.index[t.Life()]]++
+			}
+		}
+	}
+	var candidates []allocator.Candidate
+	if step.Job().Queue().GetConsent() == nil {
+		for i, s := range r.sessions {
+			if suits(step, s.life) {
+				candidates = append(candidates, allocator.Candidate{Worker: i, Allowed: true, Holding: holding[i]})
+			}
+		}
+		return candidates
+	}
+	for life, t := range f.consent(step).granted {
+		if i, ok := r.index[life]; ok {
+			candidates = append(candidates, allocator.Candidate{Worker: i, Allowed: r.now < t.until, Holding: holding[i]})
+		}
+	}
+	return candidates
+}
+
+// urgency returns by when a step must start, in milliseconds of this host's clock, and whether that has passed.
+func (f *Foreman) urgency(step *batch.Step, now time.Duration) (int64, bool) {
+	j := step.Job()
+	chain := chainFrom(j, 0)
+	objective := time.Duration(j.Queue().GetStretch()*float64(chain))*time.Millisecond +
+		time.Duration(j.Queue().GetAllowanceMs())*time.Millisecond
+	latest := f.accepted[j] + objective - time.Duration(chainFrom(j, step.Number()))*time.Millisecond
+	return latest.Milliseconds(), now > latest
+}
+
+// chainFrom returns the length in milliseconds of the longest chain of estimates that begins at a step or, for step 0,
+// anywhere.
+func chainFrom(j *batch.Job, first int) int64 {
+	longest := make([]int64, len(j.Steps()))
+	var most int64
+	for number, step := range j.Steps() {
+		if number < first || step.Done() && first > 0 {
+			continue
+		}
+		for _, before := range step.Spec().GetAfter() {
+			longest[number] = max(longest[number], longest[before])
+		}
+		longest[number] += int64(step.Spec().GetEstimateMs())
+		most = max(most, longest[number])
+	}
+	return most
+}
+
+func (f *Foreman) speedOf(worker string) float64 {
+	if s := f.speeds[worker]; s != nil && s.count >= 3 {
+		return s.ratio
+	}
+	return 1
+}
+
+// learn takes the lesson of a run's end for the worker: how fast it is, and whether it fails what it starts.
+func (f *Foreman) learn(s *session, t *batch.Task, r *run, outcome courier.Outcome, now time.Duration) {
+	switch outcome {
+	case courier.OutcomeDone:
+		s.streak, s.avoidUntil = 0, 0
+		f.learnSpeed(s, t, r, now)
+	case courier.OutcomeFailed:
+		f.blame(s, now)
+	default:
+	}
+}
+
+func (f *Foreman) blame(s *session, now time.Duration) {
+	s.streak++
+	if s.streak < provenStreak {
+		return
+	}
+	pause := min(longestPause, failingPause*time.Duration(s.streak-provenStreak+1))
+	s.avoidUntil = now + pause
+	logger.WorkerFailing.Log(f.cfg.Logger, "worker", s.life.Worker(), "failures_in_a_row", s.streak,
+		"paused_ms", pause.Milliseconds())
+}
+
+func (f *Foreman) learnSpeed(s *session, t *batch.Task, r *run, now time.Duration) {
+	estimate := time.Duration(t.Step().Spec().GetEstimateMs()) * time.Millisecond
+	ran := now - r.startedAt
+	if estimate <= 0 || ran <= 0 || t.Step().Spec().GetGang() || t.Run() > 1 {
+		return
+	}
+	known := f.speeds[s.life.Worker()]
+	if known == nil {
+		known = &speed{ratio: 1}
+		f.speeds[s.life.Worker()] = known
+	}
+	known.count++
+	weight := max(0.1, 1/float64(known.count+1))
+	ratio := min(2, max(0.4, float64(estimate)/float64(ran)))
+	known.ratio = (1-weight)*known.ratio + weight*ratio
+}
--- /dev/null
+++ b/controld/internal/foreman/foreman.go
@@ -0,0 +1,211 @@
+// Package foreman carries out a leader's duties for submitted jobs: it keeps the leases of the workers, decides which
+// tasks get a run, and turns what workers report into commands for the log. It does no I/O and reads no clock.
+package foreman
+
+import (
+	"log/slog"
+	"time"
+
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/wire"
+)
+
+// Config holds the intervals of a Foreman.
+type Config struct {
+	// Lease is how long a worker may run without a renewal, on its own clock. It must outlast an election, and it is how
+	// long the runs of a worker that vanished stay out of reach.
+	Lease time.Duration
+	// Wait is how long a worker may wait for an end before it answers a renewal.
+	Wait time.Duration
+	// AnswerTimeout bounds the wait for an answer to an order, over Wait for a renewal.
+	AnswerTimeout time.Duration
+	// StartLease bounds how late a start may be carried out.
+	StartLease time.Duration
+	// ClockDriftPercent bounds how much slower a worker's clock may run.
+	ClockDriftPercent int
+	// Forget is how long an ended job is remembered.
+	Forget time.Duration
+	Logger *slog.Logger
+	// Allocator is the placement policy.
+	Allocator allocator.Config
+}
+
+// Foreman holds what a leader knows beside the log. It belongs to one term and one control thread.
+type Foreman struct {
+	cfg      Config
+	batch    *batch.Batch
+	token    uint64
+	since    time.Duration
+	alloc    *allocator.Allocator
+	sessions map[string]*session
+	consents map[*batch.Step]*consent
+	helpers  map[string]*helper
+	accepted map[*batch.Job]time.Duration
+	ended    []endedJob
+	speeds   map[string]*speed
+	// shares is the share of asked workers that were granted, by queue.
+	shares map[string]float64
+	out    Work
+	// ends and gone wait for the next command.
+	ends []*wire.RunEnd
+	gone []*wire.WorkerLife
+	// proposed is the command of this foreman that is in the log and not yet applied; nil when there is none.
+	proposed *wire.QueueCommand
+	changed  bool
+	decideAt time.Duration
+}
+
+type endedJob struct {
+	id string
+	at time.Duration
+}
+
+// Work is what a Foreman asks its host to do.
+type Work struct {
+	Starts []StartOrder
+	Stops  []StopOrder
+	Renews []RenewOrder
+	Asks   []Ask
+}
+
+// StartOrder is a start for one life of a worker.
+type StartOrder struct {
+	To    courier.Address
+	Life  *batch.Life
+	Task  *batch.Task
+	Order courier.Start
+}
+
+// StopOrder is a stop for one life of a worker.
+type StopOrder struct {
+	To    courier.Address
+	Life  *batch.Life
+	Task  *batch.Task
+	Order courier.Stop
+}
+
+// RenewOrder is a renewal of one life of a worker.
+type RenewOrder struct {
+	To     courier.Address
+	Life   *batch.Life
+	Order  courier.Renew
+	SentAt time.Duration
+}
+
+// Ask is a question to the outside service, asked by a helper.
+type Ask struct {
+	Helper  string
+	Address string
+	Step    *batch.Step
+	Workers []string
+	Timeout time.Duration
+}
+
+// New returns the Foreman of a new leader.
+func New(cfg Config, b *batch.Batch, token uint64, now time.Duration) *Foreman {
+	f := &Foreman{
+		cfg: cfg, batch: b, token: token, since: now, alloc: allocator.New(cfg.Allocator),
+		sessions: map[string]*session{}, consents: map[*batch.Step]*consent{}, helpers: map[string]*helper{},
+		accepted: map[*batch.Job]time.Duration{}, speeds: map[string]*speed{}, shares: map[string]float64{},
+		changed: true,
+	}
+	for _, j := range b.Active() {
+		f.accepted[j] = now
+	}
+	for _, life := range b.Lives() {
+		f.session(life, now)
+	}
+	return f
+}
+
+// Take returns and clears the work that is to be done.
+func (f *Foreman) Take() Work {
+	work := f.out
+	f.out = Work{}
+	return work
+}
+
+// Applied takes note of what a command has changed.
+func (f *Foreman) Applied(effect batch.Effect, now time.Duration) {
+	if j := effect.Accepted; j != nil {
+		f.accepted[j] = now
+	}
+	for _, end := range effect.Ended {
+		f.runEnded(end, now)
+	}
+	for _, t := range effect.Placed {
+		f.start(t, now)
+	}
+	for _, id := range f.batch.TakeFinished() {
+		f.ended = append(f.ended, endedJob{id, now})
+	}
+	f.changed = true
+}
+
+// Proposed tells whether the command of the last Step was committed. What the log did not take is proposed again.
+func (f *Foreman) Proposed(committed bool, now time.Duration) {
+	command := f.proposed
+	f.proposed = nil
+	if !committed {
+		f.ends = append(command.GetEnds(), f.ends...)
+		f.gone = append(command.GetGone(), f.gone...)
+		return
+	}
+	f.acknowledge(now)
+}
+
+// acknowledge lets the workers forget the ends that are committed.
+func (f *Foreman) acknowledge(now time.Duration) {
+	for _, s := range f.sessions {
+		if s.handed > s.seen {
+			s.seen, s.renewAt = s.handed, now
+		}
+	}
+}
+
+// decideInterval bounds how long a change that no event tells, such as an expired ticket, waits for a decision.
+const decideInterval = 50 * time.Millisecond
+
+// Step advances timeouts and returns the next command for the log, or nil. One command is in the log at a time, so that
+// each decision starts from committed state.
+func (f *Foreman) Step(now time.Duration) *wire.QueueCommand {
+	f.tendSessions(now)
+	if f.proposed != nil {
+		return nil
+	}
+	command := &wire.QueueCommand{Ends: f.ends, Gone: f.gone}
+	f.ends, f.gone = nil, nil
+	if f.changed || now >= f.decideAt {
+		f.changed, f.decideAt = false, now+decideInterval
+		f.stopUnwanted(now)
+		command.Placements = f.decide(now)
+	}
+	f.forget(command, now)
+	for _, s := range f.sessions {
+		s.handed = s.listed
+	}
+	if len(command.GetEnds())+len(command.GetGone())+len(command.GetPlacements())+len(command.GetForget()) == 0 {
+		f.acknowledge(now)
+		return nil
+	}
+	f.proposed = command
+	return command
+}
+
+const forgetBatch = 500
+
+func (f *Foreman) forget(command *wire.QueueCommand, now time.Duration) {
+	for len(f.ended) > 0 && now-f.ended[0].at > f.cfg.Forget && len(command.GetForget()) < forgetBatch {
+		command.Forget = append(command.Forget, f.ended[0].id)
+		f.ended = f.ended[1:]
+	}
+	if len(f.accepted) > 2*len(f.batch.Active())+forgetBatch {
+		for j := range f.accepted {
+			if j.Ended() && j.Held() == 0 {
+				delete(f.accepted, j)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/controld/internal/foreman/order.go
@@ -0,0 +1,140 @@
+package foreman
+
+import (
+	"time"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
+)
+
+func nameOf(t *batch.Task, number int) courier.Run {
+	return courier.Run{Job: t.Step().Job().ID(), Step: t.Step().Number(), Index: t.Index(), Run: number}
+}
+
+// start orders the run of a task whose placement is committed.
+func (f *Foreman) start(t *batch.Task, now time.Duration) {
+	life := t.Life()
+	s := f.session(life, now)
+	r := &run{number: t.Run(), unanswered: true, startedAt: now, movedAt: now, checkpoint: t.Checkpoint()}
+	r.until = f.leaseEnd(s, now, f.cfg.StartLease)
+	s.runs[t] = r
+	s.until = max(s.until, r.until)
+	order := courier.Start{
+		Run: nameOf(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: f.token, Until: r.until,
+		Checkpoint: t.Checkpoint(), Ticket: f.ticket(t.Step(), life, now),
+	}
+	f.out.Starts = append(f.out.Starts, StartOrder{To: address(life), Life: life, Task: t, Order: order})
+}
+
+// Started takes in a worker's answer to a start.
+func (f *Foreman) Started(o StartOrder, answer courier.Answer, now time.Duration) {
+	s := f.sessions[o.Life.Worker()]
+	if s == nil || s.life != o.Life {
+		return
+	}
+	r := s.runs[o.Task]
+	if r == nil || r.number != o.Order.Run.Run || r.ending {
+		return
+	}
+	switch answer.Verdict {
+	case courier.Done:
+		f.confirm(r, now)
+	case courier.Unknown:
+		// The order may still be carried out. A look at the worker or the end of the start's lease settles it.
+		logger.StartUnanswered.Log(f.cfg.Logger, "worker", s.life.Worker(), "job", o.Order.Run.Job, "step", o.Order.Run.Step,
+			"index", o.Order.Run.Index, "run", o.Order.Run.Run)
+		f.stop(s, o.Task, r, now)
+	default:
+		if answer.Verdict == courier.NoTicket {
+			f.dropTicket(o.Task.Step(), s.life.Worker())
+		}
+		if answer.Verdict == courier.Unhealthy {
+			f.blame(s, now)
+		}
+		f.end(s, o.Task, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, o.Task.Checkpoint(), answer.Verdict.String(), now)
+	}
+}
+
+func (f *Foreman) stop(s *session, t *batch.Task, r *run, now time.Duration) {
+	if r.stopping || r.ending {
+		return
+	}
+	r.stopping = true
+	f.sendStop(s, t, r, now)
+}
+
+func (f *Foreman) sendStop(s *session, t *batch.Task, r *run, now time.Duration) {
+	r.stopSentAt = now
+	f.out.Stops = append(f.out.Stops, StopOrder{
+		To: address(s.life), Life: s.life, Task: t, Order: courier.Stop{Run: nameOf(t, r.number), Token: f.token},
+	})
+}
+
+// Stopped takes in a worker's answer to a stop. The run's end follows in the worker's list, if the run was there.
+func (f *Foreman) Stopped(o StopOrder, answer courier.Answer, now time.Duration) {
+	s := f.sessions[o.Life.Worker()]
+	if s == nil || s.life != o.Life || o.Task == nil {
+		return
+	}
+	if r := s.runs[o.Task]; r != nil && r.number == o.Order.Run.Run && answer.Verdict == courier.Done && !r.stopped {
+		r.stopped, r.stoppedAt = true, now
+	}
+}
+
+// stopUnwanted stops the runs of jobs that have ended, the rest of a gang that lost a member, and what should move away
+// from a worker that leaves.
+func (f *Foreman) stopUnwanted(now time.Duration) {
+	for _, j := range f.batch.Active() {
+		if j.Held() == 0 {
+			continue
+		}
+		for _, step := range j.Steps() {
+			broken := brokenGang(step)
+			if !j.Ended() && !broken {
+				continue
+			}
+			for _, t := range step.Tasks() {
+				f.stopTask(t, now)
+			}
+		}
+	}
+	for _, s := range f.sessions {
+		if !s.life.Draining() {
+			continue
+		}
+		for t, r := range s.runs {
+			if t.Step().Spec().GetCheckpoints() && r.confirmed {
+				f.stop(s, t, r, now)
+			}
+		}
+	}
+}
+
+// brokenGang reports whether some but not all members of a gang that is not done have a run.
+func brokenGang(step *batch.Step) bool {
+	if !step.Spec().GetGang() || step.Done() {
+		return false
+	}
+	held := 0
+	for _, t := range step.Tasks() {
+		if t.Life() != nil {
+			held++
+		}
+	}
+	return held > 0 && held < len(step.Tasks())
+}
+
+func (f *Foreman) stopTask(t *batch.Task, now time.Duration) {
+	if t.Life() == nil {
+		return
+	}
+	s := f.sessions[t.Life().Worker()]
+	if s == nil || s.life != t.Life() {
+		return
+	}
+	if r := s.runs[t]; r != nil {
+		f.stop(s, t, r, now)
+	}
+}
--- /dev/null
+++ b/controld/internal/foreman/report.go
@@ -0,0 +1,163 @@
+package foreman
+
+import (
+	"time"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
+)
+
+// listLimit is how many ends a worker returns at most; a full list may miss newer ones.
+const listLimit = 500
+
+// commitPause is how long a renewal waits for the commit of the ends that a worker has listed.
+const commitPause = 100 * time.Millisecond
+
+// Renewed takes in a worker's answer to a renewal.
+func (f *Foreman) Renewed(o RenewOrder, report courier.Report, answer courier.Answer, now time.Duration) {
+	s := f.sessions[o.Life.Worker()]
+	if s == nil || s.life != o.Life {
+		return
+	}
+	s.renewing = false
+	if answer.Verdict != courier.Done || report.Born != 0 && report.Born != s.life.Born() {
+		s.renewAt = now + renewRetry
+		if !s.failing {
+			s.failing = true
+			logger.WorkerUnreachable.Log(f.cfg.Logger, "worker", s.life.Worker(), "verdict", answer.Verdict.String())
+		}
+		return
+	}
+	if s.failing {
+		logger.WorkerReachable.Log(f.cfg.Logger, "worker", s.life.Worker(), "silent_ms", (now - s.answeredAt).Milliseconds())
+	}
+	if !s.known {
+		f.changed = true
+	}
+	s.known, s.failing = true, false
+	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
+	s.answeredAt, s.heardAt, s.renewAt = now, now, now
+	f.takeEnds(s, report, now)
+	f.compareRuns(s, o, report, now)
+}
+
+func (f *Foreman) takeEnds(s *session, report courier.Report, now time.Duration) {
+	for _, e := range report.Ended {
+		if e.Number <= s.listed {
+			continue
+		}
+		s.listed = e.Number
+		t := f.find(s.life, e.Run)
+		r := s.runs[t]
+		if t == nil || r == nil || r.ending || r.number != e.Run.Run {
+			continue
+		}
+		f.learn(s, t, r, e.Outcome, now)
+		outcome := wire.RunOutcome_RUN_OUTCOME_CUT_SHORT
+		switch e.Outcome {
+		case courier.OutcomeDone:
+			outcome = wire.RunOutcome_RUN_OUTCOME_DONE
+		case courier.OutcomeFailed:
+			outcome = wire.RunOutcome_RUN_OUTCOME_FAILED
+		default:
+		}
+		f.end(s, t, r, outcome, e.Checkpoint, e.Outcome.String(), now)
+	}
+	if s.listed > s.seen {
+		// The worker would answer at once with the same ends until they are committed.
+		s.renewAt = now + commitPause
+	}
+}
+
+// find returns the task of a run that a life holds.
+func (f *Foreman) find(life *batch.Life, run courier.Run) *batch.Task {
+	t := f.batch.Task(run.Job, run.Step, run.Index)
+	if t == nil || t.Life() != life {
+		return nil
+	}
+	return t
+}
+
+// compareRuns settles the runs whose fate was unknown by what the worker lists.
+func (f *Foreman) compareRuns(s *session, o RenewOrder, report courier.Report, now time.Duration) {
+	present := make(map[*batch.Task]courier.Running, len(report.Running))
+	for _, running := range report.Running {
+		t := f.find(s.life, running.Run)
+		if r := s.runs[t]; t != nil && r != nil && r.number == running.Run.Run {
+			present[t] = running
+			continue
+		}
+		f.stopStray(s, running, now)
+	}
+	for t, r := range s.runs {
+		if r.ending {
+			continue
+		}
+		if running, ok := present[t]; ok {
+			f.confirm(r, now)
+			if running.Percent != r.percent {
+				r.percent, r.movedAt = running.Percent, now
+			}
+			if running.Checkpoint != "" {
+				r.checkpoint = running.Checkpoint
+			}
+			continue
+		}
+		if len(report.Ended) < listLimit && f.neverRuns(s, o, r) {
+			f.end(s, t, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, r.checkpoint, "never_started", now)
+		}
+	}
+}
+
+func (f *Foreman) confirm(r *run, now time.Duration) {
+	if !r.confirmed {
+		r.confirmed, r.confirmedAt = true, now
+	}
+	r.unanswered = false
+}
+
+// neverRuns reports whether a run that the worker did not list can start no more: orders of earlier terms are refused,
+// a stop was answered before, or the start would come too late.
+func (f *Foreman) neverRuns(s *session, o RenewOrder, r *run) bool {
+	switch {
+	case r.stopped && o.SentAt > r.stoppedAt:
+		return true
+	case r.confirmed:
+		// The run was there; its end will be listed.
+		return o.SentAt > r.confirmedAt+f.cfg.Lease
+	case r.inherited:
+		return true
+	default:
+		return r.unanswered && r.until > 0 && s.clock > r.until
+	}
+}
+
+// stopStray stops a run that this cell's log does not hold, which happens when a late start was given up.
+func (f *Foreman) stopStray(s *session, running courier.Running, now time.Duration) {
+	t := f.batch.Task(running.Run.Job, running.Run.Step, running.Run.Index)
+	if t != nil && t.Life() == s.life && t.Run() == running.Run.Run {
+		return
+	}
+	logger.StrayRun.Log(f.cfg.Logger, "worker", s.life.Worker(), "job", running.Run.Job, "step", running.Run.Step,
+		"index", running.Run.Index, "run", running.Run.Run, "at_ms", now.Milliseconds())
+	f.out.Stops = append(f.out.Stops, StopOrder{
+		To: address(s.life), Life: s.life, Order: courier.Stop{Run: running.Run, Token: f.token},
+	})
+}
+
+// runEnded drops a run that the log has released.
+func (f *Foreman) runEnded(end batch.EndedRun, now time.Duration) {
+	if s := f.sessions[end.Worker]; s != nil {
+		if r := s.runs[end.Task]; r != nil && !r.ending {
+			r.ending = true
+		}
+		delete(s.runs, end.Task)
+	}
+	if end.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
+		logger.RunFailed.Log(f.cfg.Logger, "job", end.Task.Step().Job().ID(), "step", end.Task.Step().Number(),
+			"index", end.Task.Index(), "run", end.Task.Run(), "worker", end.Worker,
+			"failures_left", end.Task.FailuresLeft(), "at_ms", now.Milliseconds())
+	}
+}
--- /dev/null
+++ b/controld/internal/foreman/session.go
@@ -0,0 +1,201 @@
+package foreman
+
+import (
+	"time"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
+)
+
+// session is what a leader knows about one life of a worker.
+type session struct {
+	life *batch.Life
+	// clock is the worker's clock at the time clockAt of this host; hasClock is false before the first answer.
+	clock    time.Duration
+	clockAt  time.Duration
+	hasClock bool
+	// known is set once the worker has answered an order of this term. From then on it refuses orders of earlier terms.
+	known bool
+	// until is the end of the longest lease that this leader has sent.
+	until      time.Duration
+	renewing   bool
+	renewAt    time.Duration
+	answeredAt time.Duration
+	// heardAt is when the worker last answered or reported.
+	heardAt time.Duration
+	failing bool
+	// seen is the number of the newest end that is committed, handed of the newest in a command, and listed of the newest
+	// that the worker told.
+	seen, handed, listed uint64
+	runs                 map[*batch.Task]*run
+	// streak counts failed runs since the last one that succeeded.
+	streak     int
+	avoidUntil time.Duration
+}
+
+// run is what a leader knows about one run on a worker.
+type run struct {
+	number int
+	// inherited is set for a run that an earlier leader placed.
+	inherited bool
+	// confirmed is set once the worker said that it has the run.
+	confirmed   bool
+	confirmedAt time.Duration
+	// until is when a late start is refused, on the worker's clock; unanswered is set while it may still arrive.
+	until      time.Duration
+	unanswered bool
+	startedAt  time.Duration
+	stopping   bool
+	stopSentAt time.Duration
+	// stopped is when the worker answered a stop.
+	stopped    bool
+	stoppedAt  time.Duration
+	checkpoint string
+	percent    int
+	// movedAt is when percent last changed.
+	movedAt time.Duration
+	// ending is set once the run's end was handed to the log.
+	ending bool
+}
+
+const (
+	renewRetry = 150 * time.Millisecond
+	stopRetry  = 500 * time.Millisecond
+	// silentRemoval is how long a worker whose lease is over may be silent before it is dropped.
+	silentRemoval = 8 * time.Second
+)
+
+func (f *Foreman) session(life *batch.Life, now time.Duration) *session {
+	s := f.sessions[life.Worker()]
+	if s != nil && s.life == life {
+		return s
+	}
+	s = &session{life: life, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{}}
+	for t := range life.Tasks() {
+		s.runs[t] = &run{number: t.Run(), inherited: true, unanswered: true, startedAt: now, movedAt: now}
+	}
+	f.sessions[life.Worker()] = s
+	return s
+}
+
+func address(life *batch.Life) courier.Address {
+	return courier.Address{Worker: life.Worker(), Host: life.Report().GetAddress()}
+}
+
+// clockNow returns a time that the worker's clock has surely reached.
+func (f *Foreman) clockNow(s *session, now time.Duration) time.Duration {
+	elapsed := now - s.clockAt
+	return s.clock + elapsed*time.Duration(100-f.cfg.ClockDriftPercent)/100
+}
+
+// leaseEnd returns the end of a lease on the worker's clock.
+func (f *Foreman) leaseEnd(s *session, now, length time.Duration) time.Duration {
+	return s.clock + (now - s.clockAt) + length
+}
+
+// Heard takes note of a worker's report about itself and returns what has to be committed before it is acknowledged; nil
+// when nothing is new.
+func (f *Foreman) Heard(report *wire.WorkerLife, now time.Duration) *wire.WorkerLife {
+	life := f.batch.Life(report.GetWorker())
+	if life == nil || life.Born() < report.GetBornUnixMs() {
+		return report
+	}
+	if life.Born() > report.GetBornUnixMs() {
+		return nil
+	}
+	s := f.session(life, now)
+	s.heardAt = now
+	if report.GetAddress() != life.Report().GetAddress() || report.GetDraining() && !life.Draining() ||
+		report.GetCpuMillis() != life.Report().GetCpuMillis() || report.GetMemoryMb() != life.Report().GetMemoryMb() {
+		return report
+	}
+	return nil
+}
+
+// usable reports whether new runs may be placed on a worker.
+func (f *Foreman) usable(s *session, now time.Duration) bool {
+	return s.known && !s.life.Draining() && !s.failing && now >= s.avoidUntil && now-s.answeredAt < f.cfg.Wait+f.cfg.AnswerTimeout
+}
+
+func (f *Foreman) tendSessions(now time.Duration) {
+	for worker, s := range f.sessions {
+		if f.batch.Life(worker) != s.life {
+			delete(f.sessions, worker)
+		}
+	}
+	for _, life := range f.batch.Lives() {
+		s := f.session(life, now)
+		if !s.renewing && now >= s.renewAt {
+			f.renew(s, now)
+		}
+		f.tendRuns(s, now)
+		if now-s.heardAt > silentRemoval && now-s.answeredAt > silentRemoval && f.lapsed(s, now) {
+			s.heardAt = now
+			logger.WorkerLost.Log(f.cfg.Logger, "worker", life.Worker(), "silent_ms", (now - s.answeredAt).Milliseconds())
+			f.gone = append(f.gone, &wire.WorkerLife{Worker: life.Worker(), BornUnixMs: life.Born()})
+		}
+	}
+}
+
+func (f *Foreman) renew(s *session, now time.Duration) {
+	order := courier.Renew{Token: f.token, Seen: s.seen, Wait: f.cfg.Wait}
+	if s.hasClock {
+		order.Until = f.leaseEnd(s, now, f.cfg.Lease)
+		s.until = max(s.until, order.Until)
+	}
+	if !s.known || s.failing {
+		order.Wait = 0
+	}
+	s.renewing = true
+	f.out.Renews = append(f.out.Renews, RenewOrder{To: address(s.life), Life: s.life, Order: order, SentAt: now})
+}
+
+// lapsed reports whether the lease of a worker is surely over, so that nothing runs there any more.
+func (f *Foreman) lapsed(s *session, now time.Duration) bool {
+	if !s.hasClock {
+		// An earlier leader may have renewed the lease until this one took over.
+		longest := f.cfg.Lease * 100 / time.Duration(100-f.cfg.ClockDriftPercent)
+		return now-f.since > longest+f.cfg.AnswerTimeout
+	}
+	return !s.renewing && f.clockNow(s, now) > s.until && f.clockNow(s, now) > f.inheritedUntil(s)
+}
+
+// inheritedUntil bounds the leases that an earlier leader has sent, on the worker's clock.
+func (f *Foreman) inheritedUntil(s *session) time.Duration {
+	return s.clock - (s.clockAt - f.since) + f.cfg.Lease + f.cfg.AnswerTimeout
+}
+
+func (f *Foreman) tendRuns(s *session, now time.Duration) {
+	if len(s.runs) == 0 {
+		return
+	}
+	over := now-s.answeredAt > f.cfg.Wait && f.lapsed(s, now)
+	for t, r := range s.runs {
+		if r.ending {
+			continue
+		}
+		if over {
+			f.end(s, t, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, r.checkpoint, "lease_over", now)
+			continue
+		}
+		if r.stopping && !r.stopped && now-r.stopSentAt > stopRetry {
+			f.sendStop(s, t, r, now)
+		}
+	}
+}
+
+// end hands the end of a run to the log.
+func (f *Foreman) end(s *session, t *batch.Task, r *run, outcome wire.RunOutcome, checkpoint, why string, now time.Duration) {
+	r.ending = true
+	f.changed = true
+	f.ends = append(f.ends, &wire.RunEnd{
+		Job: t.Step().Job().ID(), Step: uint32(t.Step().Number()), Index: uint32(t.Index()), Run: uint32(r.number),
+		Outcome: outcome, Checkpoint: checkpoint,
+	})
+	if outcome != wire.RunOutcome_RUN_OUTCOME_DONE {
+		logger.RunCutShort.Log(f.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
+			"run", r.number, "worker", s.life.Worker(), "why", why, "ran_ms", (now - r.startedAt).Milliseconds())
+	}
+}
--- a/controld/internal/resource/resource.go
+++ b/controld/internal/resource/resource.go
@@ -87,3 +87,6 @@
 func (v Vector) Message() *wire.Resources {
 	return &wire.Resources{CpuMilli: v.cpu, MemoryMb: v.memory, Accelerators: v.accelerators}
 }
+
+// NewCPU returns an amount of thousandths of a processor.
+func NewCPU(milli int64) Vector { return Vector{cpu: milli} }
--- a/controld/internal/server/loopback_test.go
+++ b/controld/internal/server/loopback_test.go
@@ -120,7 +120,7 @@
 		},
 	})
 	require.NoError(t, err)
-	srv = New(node.ctl)
+	srv = New(node.ctl, nil)
 	go func() { _ = node.messenger.Serve(node.listener) }()
 	ctx, stop := context.WithCancel(l.ctx)
 	node.stop = stop
--- a/controld/internal/server/operate_test.go
+++ b/controld/internal/server/operate_test.go
@@ -71,7 +71,7 @@
 
 // TestUnknownAction guards against a misspelt action that is answered with a demand for a change id.
 func TestUnknownAction(t *testing.T) {
-	reply := New(nil).operate(context.Background(), &wire.OperateRequest{Action: "statsu"})
+	reply := New(nil, nil).operate(context.Background(), &wire.OperateRequest{Action: "statsu"})
 	require.EqualValues(t, http.StatusNotFound, reply.GetOperate().GetStatus())
 	require.JSONEq(t, `{"reason":"not_found","detail":"no action \"statsu\""}`, string(reply.GetOperate().GetBody()))
 }
--- a/controld/internal/server/server.go
+++ b/controld/internal/server/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"flamingodrift.example/controld/internal/controller"
+	"flamingodrift.example/core/consentserver"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/sheet"
 	"flamingodrift.example/core/wire"
@@ -23,10 +24,13 @@
 // Server turns requests of peers into calls of a controller.
 type Server struct {
 	controller *controller.Controller
+	consent    *consentserver.Server
 }
 
-// New returns a Server.
-func New(c *controller.Controller) *Server { return &Server{controller: c} }
+// New returns a Server. consent is nil where no outside service decides about steps.
+func New(c *controller.Controller, consent *consentserver.Server) *Server {
+	return &Server{controller: c, consent: consent}
+}
 
 // Handle answers one request of a peer.
 func (s *Server) Handle(ctx context.Context, request *wire.Request) *wire.Reply {
@@ -46,6 +50,13 @@
 		return s.controller.Claim(ctx, body.Claim)
 	case *wire.Request_Settle:
 		return s.controller.Settle(ctx, body.Settle)
+	case *wire.Request_Queue:
+		return s.controller.Queue(ctx, body.Queue)
+	case *wire.Request_Consent:
+		if s.consent == nil {
+			return refuse(&wire.Refusal{Reason: reason.RequestInvalid.String(), Detail: "no consent service"})
+		}
+		return s.consent.Handle(ctx, body.Consent)
 	case *wire.Request_Operate:
 		return s.operate(ctx, body.Operate)
 	default:
--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -32,10 +32,30 @@
 	PollTimeoutMs  int    `json:"poll_timeout_ms"`
 	EntryLeaseMs   int    `json:"entry_lease_ms"`
 	TargetSilentMs int    `json:"target_silent_ms"`
+	// Seeds are addresses on hosts of other controld processes, for where not all peers can be named. Their own port is
+	// that of Address.
+	Seeds []string `json:"seeds"`
+	// FirstStart is set only when the whole cell starts for the first time: the process on the first seed's host forms the
+	// group then.
+	FirstStart bool `json:"first_start"`
+	// Queues is where jobs are submitted to queues; without an address there are none.
+	Queues Queues `json:"queues"`
 	// MemoryLimitMB is the soft limit of the Go runtime's memory.
 	MemoryLimitMB int `json:"memory_limit_mb"`
 }
 
+// Queues are the settings for submitted jobs.
+type Queues struct {
+	// Address takes operators' configurations and workers' reports.
+	Address string `json:"address"`
+	// ConsentAddress is that of the service which decides which workers may run a step; empty without one.
+	ConsentAddress string `json:"consent_address"`
+	// LongestLeaseMs is the longest lease that workers accept.
+	LongestLeaseMs int `json:"longest_lease_ms"`
+	// LostDisks is how many disks may be lost at once without a loss of anything acknowledged.
+	LostDisks int `json:"lost_disks"`
+}
+
 func (s *Settings) numbers() []checker.Number {
 	return []checker.Number{
 		{Path: "voters", Value: &s.Voters, Standard: 5, Lowest: 1, Highest: 9},
@@ -65,6 +85,13 @@
 	c.Reachable("advertise_address", s.AdvertiseAddress)
 	c.Address("health_address", s.HealthAddress)
 	c.ReachableList("peers", s.Peers)
+	c.ReachableList("seeds", s.Seeds)
+	if s.Queues.Address != "" {
+		c.Reachable("queues.address", s.Queues.Address)
+		c.Numbers([]checker.Number{
+			{Path: "queues.longest_lease_ms", Value: &s.Queues.LongestLeaseMs, Standard: 10_000, Lowest: 1_000, Highest: 600_000},
+		})
+	}
 	if s.ElectionMaxMs <= s.ElectionMinMs || s.ElectionMinMs < 3*s.HeartbeatMs {
 		c.Fail("election_min_ms", fmt.Sprint(s.ElectionMinMs), "at least 3 times heartbeat_ms and below election_max_ms")
 	}
--- a/controld/internal/store/store.go
+++ b/controld/internal/store/store.go
@@ -123,8 +123,11 @@
 
 // Reload reads the snapshot and the journal again, after a write that did not fit on the disk.
 func (s *Store) Reload() (*Contents, error) {
-	if err := s.journal.Close(); err != nil {
-		return nil, err
+	if s.journal != nil {
+		if err := s.journal.Close(); err != nil {
+			return nil, err
+		}
+		s.journal = nil
 	}
 	s.meta, s.state = nil, nil
 	return s.loadContents()
@@ -287,9 +290,22 @@
 
 // Close releases the data folder.
 func (s *Store) Close() error {
-	err := s.journal.Close()
+	var err error
+	if s.journal != nil {
+		err = s.journal.Close()
+	}
 	if closeErr := s.lock.Close(); err == nil && closeErr != nil {
 		err = fmt.Errorf("release data folder: %w", closeErr)
 	}
 	return err
 }
+
+// Clear empties the data folder of a node that was removed from its group.
+func Clear(dir string) error {
+	for _, name := range []string{journalFile, snapshotFile, identityFile} {
+		if err := os.Remove(filepath.Join(dir, name)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("clear data folder: %w", err)
+		}
+	}
+	return journal.SyncDir(dir)
+}
--- a/controld/main.go
+++ b/controld/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/go-kratos/kratos/v2"
 	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
 
@@ -23,6 +25,7 @@
 	"flamingodrift.example/controld/internal/settings"
 	"flamingodrift.example/controld/internal/store"
 	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/kratoslogger"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
@@ -35,6 +38,8 @@
 	// driftPercent bounds the difference in speed of two hosts' clocks.
 	driftPercent = 1
 	stopTimeout  = 5 * time.Second
+	// fullDiskPause is how soon a data folder is opened again whose disk was full.
+	fullDiskPause = 500 * time.Millisecond
 )
 
 type arguments struct {
@@ -67,9 +72,15 @@
 		}
 		return
 	}
-	log := logger.New(os.Stderr, "controld", cfg.Name)
+	log := logger.New(os.Stdout, "controld", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(cfg, log); err != nil {
+	if err := run(args.Settings, cfg, log); errors.Is(err, controller.ErrRemoved) && cfg.Queues.Address != "" {
+		// The group goes on without this data folder; the next start joins it anew.
+		if err := store.Clear(cfg.DataFolder); err != nil {
+			logger.Fatal.Log(log, "error", err.Error())
+		}
+		os.Exit(1)
+	} else if err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
 		os.Exit(1)
 	}
@@ -86,18 +97,29 @@
 	listener   net.Listener
 	health     *khttp.Server
 	store      *store.Store
+	// queues is nil where no jobs are submitted to queues.
+	queues *queueServer
 }
 
-func run(cfg *settings.Settings, log *slog.Logger) error {
+func run(file string, cfg *settings.Settings, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	if err := formGroup(cfg); err != nil {
+		return err
+	}
 	d, err := assemble(cfg, log)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.store.Close() }()
+	servers := []transport.Server{d.health, &service{daemon: d}}
+	if d.queues != nil {
+		servers = append(servers, d.queues.http)
+		go d.queues.run()
+		go reloadOnSignal(file, cfg, d, log)
+	}
 	app := kratos.New(
 		kratos.Name("controld"),
-		kratos.Server(d.health, &service{daemon: d}),
+		kratos.Server(servers...),
 		kratos.StopTimeout(stopTimeout),
 		kratos.AfterStart(func(context.Context) error {
 			logger.Started.Log(log, "address", cfg.Address, "node_id", d.store.NodeID())
@@ -116,7 +138,7 @@
 }
 
 func assemble(cfg *settings.Settings, log *slog.Logger) (*daemon, error) {
-	data, contents, err := store.Open(cfg.DataFolder)
+	data, contents, err := openStore(cfg.DataFolder, log)
 	if err != nil {
 		return nil, oops.In("store").With("data_folder", cfg.DataFolder).Wrapf(err, "open data folder")
 	}
@@ -132,7 +154,7 @@
 		},
 	})
 	ctl, err := controller.New(controller.Config{
-		Member: member(cfg), Peers: cfg.Peers, Voters: cfg.Voters, Store: data, Contents: contents, Clock: clock.New(),
+		Member: member(cfg), Peers: peers(cfg), Voters: cfg.Voters, Store: data, Contents: contents, Clock: clock.New(),
 		Messenger: mailer, Logger: log, Meter: counters,
 		Heartbeat:   loader.Milliseconds(cfg.HeartbeatMs),
 		ElectionMin: loader.Milliseconds(cfg.ElectionMinMs), ElectionMax: loader.Milliseconds(cfg.ElectionMaxMs),
@@ -142,11 +164,13 @@
 			DriftPercent: driftPercent,
 		},
 		Planner: planner.Config{},
+		Queues:  queueConfig(cfg, log),
 	})
 	if err != nil {
 		return nil, err
 	}
-	srv = server.New(ctl)
+	queues := newQueueServer(cfg, mailer, log)
+	srv = server.New(ctl, queues.consentServer())
 	listener, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, oops.In("messenger").With("address", cfg.Address).Wrapf(err, "listen")
@@ -154,7 +178,19 @@
 	health := khttp.NewServer(khttp.Address(cfg.HealthAddress))
 	health.HandlePrefix("/metrics", counters.Handler())
 	health.HandlePrefix("/", srv.Health())
-	return &daemon{controller: ctl, messenger: mailer, listener: listener, health: health, store: data}, nil
+	return &daemon{controller: ctl, messenger: mailer, listener: listener, health: health, store: data, queues: queues}, nil
+}
+
+// openStore waits for a disk that refuses every write because it is full.
+func openStore(folder string, log *slog.Logger) (*store.Store, *store.Contents, error) {
+	for {
+		data, contents, err := store.Open(folder)
+		if !errors.Is(err, journal.ErrDiskFull) {
+			return data, contents, err
+		}
+		logger.DiskFull.Log(log)
+		time.Sleep(fullDiskPause)
+	}
 }
 
 // service runs the control thread and the sessions as one kratos server.
--- /dev/null
+++ b/core/journal/full_test.go
@@ -0,0 +1,35 @@
+package journal_test
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/journal"
+	"flamingodrift.example/core/wire"
+)
+
+// refusingFile is a file on a disk that refuses every write.
+type refusingFile struct{ *os.File }
+
+// WriteAt implements journal.File.
+func (refusingFile) WriteAt([]byte, int64) (int, error) { return 0, syscall.ENOSPC }
+
+// TestOpenOnFullDisk guards against taking a disk that refuses every write, also in place, for a damaged one: the process
+// would end instead of waiting for space.
+func TestOpenOnFullDisk(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	ignore := func(*wire.JournalRecord) error { return nil }
+	j, err := journal.Open(journal.Config{Path: path}, ignore)
+	require.NoError(t, err)
+	require.NoError(t, j.Append(&wire.JournalRecord{Body: &wire.JournalRecord_HardState{HardState: &wire.HardState{Term: 1}}}))
+	require.NoError(t, j.Close())
+	_, err = journal.Open(journal.Config{Path: path, Open: func(path string) (journal.File, error) {
+		file, err := os.OpenFile(path, os.O_RDWR, 0o600)
+		return refusingFile{file}, err
+	}}, ignore)
+	require.ErrorIs(t, err, journal.ErrDiskFull)
+}
--- a/core/journal/journal.go
+++ b/core/journal/journal.go
@@ -67,7 +67,7 @@
 
 // Open reads the journal and passes each record to replay. An append at the end that a crash interrupted is cut off.
 // Any other damage is a *DamageError. Records that were replayed are durable. It returns ErrDiskFull when the file cannot
-// be created for lack of space.
+// be created or made durable for lack of space.
 func Open(cfg Config, replay func(*wire.JournalRecord) error) (*Journal, error) {
 	if cfg.Open == nil {
 		cfg.Open = openFile
@@ -228,7 +228,10 @@
 	if len(data) == 0 {
 		return nil
 	}
-	if _, err := j.file.WriteAt(data, 0); err != nil {
+	if _, err := j.file.WriteAt(data, 0); noSpace(err) {
+		// Some disks refuse even what takes no new space while they are full.
+		return fmt.Errorf("write %s in place: %w", j.cfg.Path, ErrDiskFull)
+	} else if err != nil {
 		return fmt.Errorf("write %s in place: %w", j.cfg.Path, err)
 	}
 	if err := j.file.Sync(); err != nil {
--- a/entryd/internal/locator/locator.go
+++ b/core/locator/locator.go
@@ -23,6 +23,15 @@
 // ErrNoLeader is returned when no controld process leads or can be reached before the context ends.
 var ErrNoLeader = errors.New("no leader can be reached")
 
+// UnansweredError is returned with ErrNoLeader when the request may have reached a leader.
+type UnansweredError struct{ Cause error }
+
+// Error returns the cause of the last attempt.
+func (e *UnansweredError) Error() string { return "a request got no answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnansweredError) Unwrap() error { return e.Cause }
+
 const (
 	attemptTimeout = 700 * time.Millisecond
 	retryPause     = 50 * time.Millisecond
@@ -41,23 +50,39 @@
 type Locator struct {
 	cfg Config
 
-	mu     sync.Mutex
-	leader string
-	next   int
+	mu       sync.Mutex
+	controls []string
+	leader   string
+	next     int
 }
 
 // New returns a Locator that does not know the leader yet.
-func New(cfg Config) *Locator { return &Locator{cfg: cfg} }
+func New(cfg Config) *Locator { return &Locator{cfg: cfg, controls: cfg.Controls} }
+
+// SetControls replaces the addresses of the controld processes; an empty list changes nothing.
+func (l *Locator) SetControls(controls []string) {
+	if len(controls) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.controls = controls
+}
 
 // Call sends a request to the leader. A request that may have reached a leader without an answer is sent again, so it
 // must be one that a leader recognises as a repetition.
 func (l *Locator) Call(ctx context.Context, request *wire.Request) (*wire.Reply, error) {
+	var unanswered error
 	for redirects := 0; ; {
 		address := l.address()
 		reply, err := l.attempt(ctx, address, request)
 		refusal := reply.GetRefusal()
 		switch {
 		case err != nil:
+			var failure *messenger.Error
+			if errors.As(err, &failure) && failure.Sent {
+				unanswered = &UnansweredError{Cause: err}
+			}
 			l.forget(address)
 		case refusal == nil:
 			l.remember(address)
@@ -76,7 +101,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, errors.Join(ErrNoLeader, ctx.Err())
+			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
 		case <-time.After(retryPause):
 		}
 	}
@@ -95,7 +120,7 @@
 		return l.leader
 	}
 	l.next++
-	return l.cfg.Controls[l.next%len(l.cfg.Controls)]
+	return l.controls[l.next%len(l.controls)]
 }
 
 func (l *Locator) remember(address string) {
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -99,11 +99,17 @@
 
 // Call sends a request and waits for its reply. Every error is an *Error.
 func (m *Messenger) Call(ctx context.Context, address string, request *wire.Request) (*wire.Reply, error) {
-	stream, err := m.open(ctx, address)
+	stream, session, err := m.open(ctx, address)
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
 	defer func() { _ = stream.Close() }()
+	defer func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The connection may have gone silent; the next call makes a new one.
+			m.drop(address, session)
+		}
+	}()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := ctx.Err(); err != nil {
@@ -148,7 +154,7 @@
 		case request := <-queue:
 			if stream == nil {
 				ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
-				stream, _ = m.open(ctx, address)
+				stream, _, _ = m.open(ctx, address)
 				cancel()
 			}
 			if stream == nil {
@@ -163,19 +169,19 @@
 	}
 }
 
-func (m *Messenger) open(ctx context.Context, address string) (net.Conn, error) {
+func (m *Messenger) open(ctx context.Context, address string) (net.Conn, *yamux.Session, error) {
 	for attempt := 0; ; attempt++ {
 		session, fresh, err := m.session(ctx, address)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		stream, err := session.OpenStream()
 		if err == nil {
-			return stream, nil
+			return stream, session, nil
 		}
 		m.drop(address, session)
 		if fresh || attempt > 0 {
-			return nil, fmt.Errorf("open stream to %s: %w", address, err)
+			return nil, nil, fmt.Errorf("open stream to %s: %w", address, err)
 		}
 	}
 }
--- /dev/null
+++ b/core/queuecaller/queuecaller.go
@@ -0,0 +1,83 @@
+// Package queuecaller passes calls about queues on to the leader.
+package queuecaller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"flamingodrift.example/core/locator"
+	"flamingodrift.example/core/wire"
+)
+
+const (
+	// leaderWait bounds how long a call waits for a leader. An election takes about a second; a caller that waits longer
+	// is better told to come back.
+	leaderWait = 1500 * time.Millisecond
+	// retryAfter is when a caller may come back while there is no leader.
+	retryAfter = time.Second
+	// unknownPause is the pause before a call is repeated whose fate a leader could not tell.
+	unknownPause = 50 * time.Millisecond
+)
+
+// Caller is safe for concurrent use.
+type Caller struct {
+	leader *locator.Locator
+}
+
+// New returns a Caller.
+func New(leader *locator.Locator) *Caller { return &Caller{leader: leader} }
+
+// Call passes a call on and returns the leader's reply. Without a leader it answers that the call was turned away, or
+// that its fate is unknown when a leader may have got it. Every call may be repeated: leaders recognise a repetition.
+func (c *Caller) Call(ctx context.Context, call *wire.QueueCall) *wire.QueueReply {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	request := &wire.Request{Body: &wire.Request_Queue{Queue: call}}
+	uncertain := false
+	for {
+		reply, err := c.leader.Call(ctx, request)
+		if err != nil {
+			return failure(call, err, uncertain)
+		}
+		answer := reply.GetQueue()
+		if answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN &&
+			answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNSPECIFIED {
+			if uncertain && answer.GetOutcome() == wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY {
+				// An earlier sending may still take effect.
+				answer.Outcome = wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN
+			}
+			return answer
+		}
+		uncertain = true
+		select {
+		case <-ctx.Done():
+			return failure(call, ctx.Err(), uncertain)
+		case <-time.After(unknownPause):
+		}
+	}
+}
+
+func failure(call *wire.QueueCall, err error, uncertain bool) *wire.QueueReply {
+	var refused *locator.RefusedError
+	if errors.As(err, &refused) {
+		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_INVALID, Detail: err.Error()}
+	}
+	var unanswered *locator.UnansweredError
+	if changes(call) && (uncertain || errors.As(err, &unanswered)) {
+		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN, Detail: err.Error()}
+	}
+	return &wire.QueueReply{
+		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(), RetryAfterMs: uint32(retryAfter.Milliseconds()),
+	}
+}
+
+// changes reports whether a call may have an effect.
+func changes(call *wire.QueueCall) bool {
+	switch call.GetBody().(type) {
+	case *wire.QueueCall_State, *wire.QueueCall_Count, *wire.QueueCall_ReadConfig, *wire.QueueCall_Helper:
+		return false
+	default:
+		return true
+	}
+}
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -13,12 +13,12 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"flamingodrift.example/core/locator"
 	"flamingodrift.example/entryd/internal/claimer"
 	"flamingodrift.example/entryd/internal/console"
 	"flamingodrift.example/entryd/internal/dispatcher"
 	"flamingodrift.example/entryd/internal/gateway"
 	"flamingodrift.example/entryd/internal/limiter"
-	"flamingodrift.example/entryd/internal/locator"
 	"flamingodrift.example/entryd/internal/poller"
 	"flamingodrift.example/entryd/internal/retrier"
 	"flamingodrift.example/entryd/internal/roster"
--- a/entryd/internal/claimer/claimer.go
+++ b/entryd/internal/claimer/claimer.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"flamingodrift.example/entryd/internal/locator"
+	"flamingodrift.example/core/locator"
 
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
--- a/entryd/internal/console/console.go
+++ b/entryd/internal/console/console.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"flamingodrift.example/entryd/internal/locator"
+	"flamingodrift.example/core/locator"
 
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/reason"
--- /dev/null
+++ b/frontd/daemon.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/samber/oops"
+
+	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/consentserver"
+	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/locator"
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/queuecaller"
+	"flamingodrift.example/core/wire"
+	"flamingodrift.example/frontd/internal/settings"
+	"flamingodrift.example/platform/consentclient"
+	"flamingodrift.example/platform/jobhandler"
+)
+
+const (
+	// headerTimeout ends connections that send their headers too slowly, so that they cannot use up all connections.
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 16 << 10
+	// keepAlive is how soon a session that went silent is noticed.
+	keepAlive = time.Second
+	// leaderSilence is how long this process may hear of no leader before the balancer is told to use others.
+	leaderSilence = 2500 * time.Millisecond
+)
+
+// daemon assembles the parts of one process. It is a kratos server.
+type daemon struct {
+	messenger *messenger.Messenger
+	listener  net.Listener
+	leader    *locator.Locator
+	consent   *consentserver.Server
+	servers   []*khttp.Server
+	clock     clock.Clock
+	leaving   atomic.Bool
+	cancel    context.CancelFunc
+	ctx       context.Context
+}
+
+func assemble(cfg *settings.Settings, log *slog.Logger) (*daemon, error) {
+	counters, err := meter.New("frontd")
+	if err != nil {
+		return nil, oops.In("meter").Wrapf(err, "create counters")
+	}
+	d := &daemon{}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.messenger = messenger.New(messenger.Config{
+		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle, KeepAlive: keepAlive,
+	})
+	d.leader = locator.New(locator.Config{Messenger: d.messenger, Controls: loader.Siblings(cfg.Seeds, cfg.Address)})
+	d.consent = consentserver.New(consentserver.Config{
+		Name: cfg.Name, Address: cfg.Address, Consenter: consentclient.New(cfg.ConsentAddress), Leader: d.leader, Logger: log,
+	})
+	callers := newServer(cfg.CallerAddress)
+	callers.HandlePrefix("/", d.closing(jobhandler.New(queuecaller.New(d.leader))))
+	ready := newServer(cfg.ReadyAddress)
+	ready.HandlePrefix("/", http.HandlerFunc(d.ready))
+	metrics := newServer(cfg.MetricsAddress)
+	metrics.HandlePrefix("/metrics", counters.Handler())
+	d.servers = []*khttp.Server{callers, ready, metrics}
+	if d.listener, err = net.Listen("tcp", cfg.Address); err != nil {
+		return nil, oops.In("messenger").With("address", cfg.Address).Wrapf(err, "listen")
+	}
+	return d, nil
+}
+
+func newServer(address string) *khttp.Server {
+	// Requests have deadlines of their own; the transport's default of one second would cut them off.
+	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	return server
+}
+
+// closing asks callers to close their connections while this process leaves.
+func (d *daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (d *daemon) handle(ctx context.Context, request *wire.Request) *wire.Reply {
+	if call := request.GetConsent(); call != nil {
+		return d.consent.Handle(ctx, call)
+	}
+	return &wire.Reply{Body: &wire.Reply_Refusal{Refusal: &wire.Refusal{Detail: "frontd does not answer this request"}}}
+}
+
+func (d *daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	if d.leaving.Load() || !d.consent.HeardLeader(d.clock.Now(), leaderSilence) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// drain tells the balancer that this process leaves, and still takes requests during notice, because the balancer learns
+// of it with a delay.
+func (d *daemon) drain(notice time.Duration) {
+	d.leaving.Store(true)
+	time.Sleep(notice)
+}
+
+// Start serves until Stop.
+func (d *daemon) Start(context.Context) error {
+	errs := make(chan error, len(d.servers))
+	for _, server := range d.servers {
+		go func() { errs <- server.Start(d.ctx) }()
+	}
+	go func() { _ = d.messenger.Serve(d.listener) }()
+	go d.consent.Run(d.ctx)
+	select {
+	case err := <-errs:
+		return err
+	case <-d.ctx.Done():
+		return nil
+	}
+}
+
+// Stop waits for the requests in progress and closes all sessions.
+func (d *daemon) Stop(ctx context.Context) error {
+	var first error
+	for _, server := range d.servers {
+		if err := server.Stop(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	d.cancel()
+	d.messenger.Close()
+	_ = d.listener.Close()
+	return first
+}
--- /dev/null
+++ b/frontd/main.go
@@ -0,0 +1,99 @@
+// Command frontd takes the jobs of callers and passes them on to the leading control process.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/samber/oops"
+
+	"flamingodrift.example/core/kratoslogger"
+	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/logger"
+	"flamingodrift.example/frontd/internal/settings"
+)
+
+// closeTimeout bounds what is left to do once no request is in progress.
+const closeTimeout = time.Second
+
+type arguments struct {
+	Settings string `arg:"--settings,required" help:"settings file, JSON with comments" placeholder:"FILE"`
+	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "frontd takes the jobs of callers and passes them on to the leading control process."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	cfg := &settings.Settings{}
+	if err := loader.Load(args.Settings, cfg); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if args.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	log := logger.New(os.Stdout, "frontd", cfg.Name)
+	klog.SetLogger(kratoslogger.New(log))
+	if err := run(args.Settings, cfg, log); err != nil {
+		logger.Fatal.Log(log, "error", err.Error())
+		os.Exit(1)
+	}
+}
+
+func run(file string, cfg *settings.Settings, log *slog.Logger) error {
+	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
+	d, err := assemble(cfg, log)
+	if err != nil {
+		return err
+	}
+	go reloadOnSignal(file, d, log)
+	app := kratos.New(
+		kratos.Name("frontd"),
+		kratos.Server(d),
+		kratos.StopTimeout(loader.Milliseconds(cfg.StopMs)+closeTimeout),
+		kratos.AfterStart(func(context.Context) error {
+			logger.Started.Log(log, "address", cfg.Address, "caller_address", cfg.CallerAddress)
+			return nil
+		}),
+		kratos.BeforeStop(func(context.Context) error {
+			logger.ShutdownStarted.Log(log)
+			d.drain(loader.Milliseconds(cfg.NoticeMs))
+			return nil
+		}),
+	)
+	if err := app.Run(); err != nil {
+		return oops.In("frontd").With("name", cfg.Name).Wrapf(err, "run")
+	}
+	logger.ShutdownFinished.Log(log)
+	return nil
+}
+
+// reloadOnSignal reads the settings again on SIGHUP. Only the seeds can change while the process runs.
+func reloadOnSignal(file string, d *daemon, log *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		cfg := &settings.Settings{}
+		if err := loader.Load(file, cfg); err != nil {
+			logger.ReloadFailed.Log(log, "error", err.Error())
+			continue
+		}
+		d.leader.SetControls(loader.Siblings(cfg.Seeds, cfg.Address))
+		logger.Reloaded.Log(log, "seeds", len(cfg.Seeds))
+	}
+}
