--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -25,12 +25,12 @@
 	return &wire.WorkerLife{Worker: worker, BornUnixMs: born, Pool: "p", CpuMillis: 8000, MemoryMb: 8000}
 }
 
-func placement(job string, step, index, run uint32, worker string, born int64) *wire.RunPlacement {
-	return &wire.RunPlacement{Job: job, Step: step, Index: index, Run: run, Worker: worker, BornUnixMs: born}
+func placement(step, index, run uint32, worker string, born int64) *wire.RunPlacement {
+	return &wire.RunPlacement{Job: jobID, Step: step, Index: index, Run: run, Worker: worker, BornUnixMs: born}
 }
 
-func ended(job string, step, index, run uint32, outcome wire.RunOutcome) *wire.RunEnd {
-	return &wire.RunEnd{Job: job, Step: step, Index: index, Run: run, Outcome: outcome}
+func ended(step, index, run uint32, outcome wire.RunOutcome) *wire.RunEnd {
+	return &wire.RunEnd{Job: jobID, Step: step, Index: index, Run: run, Outcome: outcome}
 }
 
 func apply(b *Batch, commands ...*wire.QueueCommand) Effect {
@@ -73,18 +73,18 @@
 		place  *wire.QueueCommand
 		placed int
 	}{
-		{name: "fits", step: single, place: place(placement(jobID, 0, 0, 1, "w1", 1)), placed: 1},
+		{name: "fits", step: single, place: place(placement(0, 0, 1, "w1", 1)), placed: 1},
 		{
-			name: "task has a run", step: single, before: []*wire.QueueCommand{place(placement(jobID, 0, 0, 1, "w1", 1))},
-			place: place(placement(jobID, 0, 0, 2, "w2", 1)),
+			name: "task has a run", step: single, before: []*wire.QueueCommand{place(placement(0, 0, 1, "w1", 1))},
+			place: place(placement(0, 0, 2, "w2", 1)),
 		},
 		{
 			name: "room of a run that is not settled stays taken", step: single,
-			before: []*wire.QueueCommand{place(placement(jobID, 0, 0, 1, "w1", 1), placement(jobID, 0, 1, 1, "w1", 1))},
-			place:  place(placement(jobID, 0, 2, 1, "w1", 1)),
+			before: []*wire.QueueCommand{place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w1", 1))},
+			place:  place(placement(0, 2, 1, "w1", 1)),
 		},
-		{name: "earlier life", step: single, place: place(placement(jobID, 0, 0, 1, "w1", 0))},
-		{name: "unknown worker", step: single, place: place(placement(jobID, 0, 0, 1, "w9", 1))},
+		{name: "earlier life", step: single, place: place(placement(0, 0, 1, "w1", 0))},
+		{name: "unknown worker", step: single, place: place(placement(0, 0, 1, "w9", 1))},
 		{
 			name: "worker leaves", step: single,
 			before: []*wire.QueueCommand{{Workers: []*wire.WorkerLife{func() *wire.WorkerLife {
@@ -92,7 +92,7 @@
 				life.Draining = true
 				return life
 			}()}}},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1)),
+			place: place(placement(0, 0, 1, "w1", 1)),
 		},
 		{
 			name: "a late report does not bring a leaving worker back", step: single,
@@ -101,25 +101,25 @@
 				life.Draining = true
 				return life
 			}()}}, {Workers: []*wire.WorkerLife{testLife("w1", 1)}}},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1)),
+			place: place(placement(0, 0, 1, "w1", 1)),
 		},
 		{
 			name: "job is canceled", step: single, before: []*wire.QueueCommand{{Cancel: jobID}},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1)),
+			place: place(placement(0, 0, 1, "w1", 1)),
 		},
 		{
 			name: "run number was used", step: single, before: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, cutShort)),
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, cutShort)),
 			},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1)),
+			place: place(placement(0, 0, 1, "w1", 1)),
 		},
 		{
 			name: "half of a gang", step: &wire.JobStep{Count: 2, CpuMillis: 6000, Gang: true},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1), placement(jobID, 0, 1, 1, "w1", 1)),
+			place: place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w1", 1)),
 		},
 		{
 			name: "whole gang", step: &wire.JobStep{Count: 2, CpuMillis: 6000, Gang: true},
-			place: place(placement(jobID, 0, 0, 1, "w1", 1), placement(jobID, 0, 1, 1, "w2", 1)), placed: 2,
+			place: place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w2", 1)), placed: 2,
 		},
 	}
 	for _, test := range tests {
@@ -144,53 +144,53 @@
 		{name: "new", steps: chain, phase: wire.JobPhase_JOB_PHASE_QUEUED},
 		{
 			name: "one of two steps done", steps: chain, phase: wire.JobPhase_JOB_PHASE_RUNNING,
-			commands: []*wire.QueueCommand{place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, done))},
+			commands: []*wire.QueueCommand{place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, done))},
 		},
 		{
 			name: "all done", steps: chain, phase: wire.JobPhase_JOB_PHASE_COMPLETED,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, done)),
-				place(placement(jobID, 1, 0, 1, "w1", 1)), end(ended(jobID, 1, 0, 1, done)),
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, done)),
+				place(placement(1, 0, 1, "w1", 1)), end(ended(1, 0, 1, done)),
 			},
 		},
 		{
 			name: "as many failures as attempts", steps: chain, phase: wire.JobPhase_JOB_PHASE_FAILED,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, failed)),
-				place(placement(jobID, 0, 0, 2, "w1", 1)), end(ended(jobID, 0, 0, 2, failed)),
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, failed)),
+				place(placement(0, 0, 2, "w1", 1)), end(ended(0, 0, 2, failed)),
 			},
 		},
 		{
 			name: "runs cut short are no failures", steps: chain, phase: wire.JobPhase_JOB_PHASE_RUNNING,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, cutShort)),
-				place(placement(jobID, 0, 0, 2, "w1", 1)), end(ended(jobID, 0, 0, 2, cutShort)),
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, cutShort)),
+				place(placement(0, 0, 2, "w1", 1)), end(ended(0, 0, 2, cutShort)),
 			},
 		},
 		{
 			name: "two members that fail in one run are one failure", steps: gang, phase: wire.JobPhase_JOB_PHASE_RUNNING,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1), placement(jobID, 0, 1, 1, "w2", 1)),
-				end(ended(jobID, 0, 0, 1, failed), ended(jobID, 0, 1, 1, failed)),
+				place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w2", 1)),
+				end(ended(0, 0, 1, failed), ended(0, 1, 1, failed)),
 			},
 		},
 		{
 			name: "the end of one member is that of the gang", steps: gang, phase: wire.JobPhase_JOB_PHASE_COMPLETED,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1), placement(jobID, 0, 1, 1, "w2", 1)), end(ended(jobID, 0, 0, 1, done)),
+				place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w2", 1)), end(ended(0, 0, 1, done)),
 			},
 		},
 		{
 			name: "the end of another run counts for nothing", steps: chain, phase: wire.JobPhase_JOB_PHASE_RUNNING,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, cutShort)),
-				place(placement(jobID, 0, 0, 2, "w1", 1)), end(ended(jobID, 0, 0, 1, done)),
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, cutShort)),
+				place(placement(0, 0, 2, "w1", 1)), end(ended(0, 0, 1, done)),
 			},
 		},
 		{
 			name: "canceled after its end", steps: chain[:1], phase: wire.JobPhase_JOB_PHASE_COMPLETED,
 			commands: []*wire.QueueCommand{
-				place(placement(jobID, 0, 0, 1, "w1", 1)), end(ended(jobID, 0, 0, 1, done)), {Cancel: jobID},
+				place(placement(0, 0, 1, "w1", 1)), end(ended(0, 0, 1, done)), {Cancel: jobID},
 			},
 		},
 	}
@@ -207,11 +207,11 @@
 // late report of the old life that would end the runs of the new one.
 func TestNewLifeEndsRuns(t *testing.T) {
 	b := newTestBatch(&wire.JobStep{Count: 1, CpuMillis: 1})
-	apply(b, place(placement(jobID, 0, 0, 1, "w1", 1)))
+	apply(b, place(placement(0, 0, 1, "w1", 1)))
 	effect := apply(b, &wire.QueueCommand{Workers: []*wire.WorkerLife{testLife("w1", 2)}})
 	require.Len(t, effect.Ended, 1)
 	require.True(t, b.Task(jobID, 0, 0).Waiting())
-	apply(b, place(placement(jobID, 0, 0, 2, "w1", 2)))
+	apply(b, place(placement(0, 0, 2, "w1", 2)))
 	effect = apply(b, &wire.QueueCommand{Workers: []*wire.WorkerLife{testLife("w1", 1)}, Gone: []*wire.WorkerLife{testLife("w1", 1)}})
 	require.Empty(t, effect.Ended)
 	require.False(t, b.Task(jobID, 0, 0).Waiting())
@@ -302,9 +302,9 @@
 	case 1:
 		return &wire.QueueCommand{Gone: []*wire.WorkerLife{testLife(worker, born)}}
 	case 2:
-		return place(placement(jobID, 1, 0, run, "w1", born), placement(jobID, 1, 1, run, "w2", born))
+		return place(placement(1, 0, run, "w1", born), placement(1, 1, run, "w2", born))
 	case 3, 4, 5:
-		return place(placement(jobID, step, index, run, worker, born))
+		return place(placement(step, index, run, worker, born))
 	case 6:
 		if rapid.IntRange(0, 9).Draw(t, "cancel") == 0 {
 			return &wire.QueueCommand{Cancel: jobID}
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -114,7 +114,8 @@
 	return o
 }
 
-func (d *desk) task(index int) *batch.Task { return d.batch.Task(job, 0, index) }
+// task returns the first task of the job.
+func (d *desk) task() *batch.Task { return d.batch.Task(job, 0, 0) }
 
 func one() *wire.JobStep { return &wire.JobStep{Count: 1, CpuMillis: 1000, EstimateMs: 1000} }
 
@@ -166,7 +167,7 @@
 			d.turn(0)
 			d.Started(d.start(), d.answer(test.verdict), d.now)
 			d.turn(time.Millisecond)
-			require.Equal(t, test.again, d.task(0).Run() > 1 || d.task(0).Waiting())
+			require.Equal(t, test.again, d.task().Run() > 1 || d.task().Waiting())
 		})
 	}
 }
@@ -184,8 +185,8 @@
 			d.turn(time.Millisecond)
 			d.Started(d.start(), d.answer(verdict), d.now)
 			d.turn(time.Millisecond)
-			require.Equal(t, 1, d.task(0).Run())
-			require.NotNil(t, d.task(0).Life())
+			require.Equal(t, 1, d.task().Run())
+			require.NotNil(t, d.task().Life())
 		})
 	}
 }
@@ -210,7 +211,7 @@
 		d, o := given(t)
 		d.renew(map[string][]courier.Running{"w1": {{Run: o.Order.Run}}}, nil)
 		d.turn(10 * testStart)
-		require.Equal(t, 1, d.task(0).Run())
+		require.Equal(t, 1, d.task().Run())
 	})
 	t.Run("it is stopped and not listed afterwards", func(t *testing.T) {
 		d, _ := given(t)
@@ -219,22 +220,22 @@
 		d.now += time.Millisecond
 		d.renew(nil, nil)
 		d.turn(0)
-		require.Equal(t, 1, d.task(0).Run(), "this look was sent before the stop was answered")
+		require.Equal(t, 1, d.task().Run(), "this look was sent before the stop was answered")
 		d.turn(time.Millisecond)
 		d.renew(nil, nil)
 		d.turn(time.Millisecond)
-		require.Equal(t, 2, d.task(0).Run())
+		require.Equal(t, 2, d.task().Run())
 	})
 	t.Run("its own lease is over on the worker's clock", func(t *testing.T) {
 		d, _ := given(t)
 		d.turn(testStart / 2)
 		d.renew(nil, nil)
 		d.turn(time.Millisecond)
-		require.Equal(t, 1, d.task(0).Run())
+		require.Equal(t, 1, d.task().Run())
 		d.turn(testStart)
 		d.renew(nil, nil)
 		d.turn(time.Millisecond)
-		require.Equal(t, 2, d.task(0).Run())
+		require.Equal(t, 2, d.task().Run())
 	})
 }
 
@@ -254,14 +255,14 @@
 		d := given(t)
 		d.renew(map[string][]courier.Running{"w1": {{Run: courier.Run{Job: job, Run: 1}}}}, nil)
 		d.turn(time.Millisecond)
-		require.Equal(t, 1, d.task(0).Run())
-		require.NotNil(t, d.task(0).Life())
+		require.Equal(t, 1, d.task().Run())
+		require.NotNil(t, d.task().Life())
 	})
 	t.Run("a run that is not listed never starts", func(t *testing.T) {
 		d := given(t)
 		d.renew(nil, nil)
 		d.turn(time.Millisecond)
-		require.Equal(t, 2, d.task(0).Run())
+		require.Equal(t, 2, d.task().Run())
 	})
 	t.Run("an end is committed before it is acknowledged", func(t *testing.T) {
 		d := given(t)
@@ -312,15 +313,15 @@
 			d.Renewed(renew, courier.Report{Born: 1}, d.answer(courier.Done), d.now)
 		}
 		d.turn(100 * time.Millisecond)
-		if d.task(0).Run() > 1 {
+		if d.task().Run() > 1 {
 			break
 		}
 	}
 	// The slowest clock that the worker may have.
 	slowest := offset + d.now - (d.now-time.Minute)*2/100
 	require.Greater(t, slowest, until, "the lease may not be over yet")
-	require.Equal(t, 2, d.task(0).Run(), "the task waits for a worker that is gone")
-	require.Equal(t, "w2", d.task(0).Life().Worker())
+	require.Equal(t, 2, d.task().Run(), "the task waits for a worker that is gone")
+	require.Equal(t, "w2", d.task().Life().Worker())
 }
 
 // TestBrokenGang guards against members that wait for a gang which cannot become complete.
