--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -23,6 +23,8 @@
 	helperSilence = 3 * time.Second
 	// ticketMargin is how long before its end a ticket is no longer used: an order may take that long.
 	ticketMargin = 150 * time.Millisecond
+	// mostWaiting is how much work a helper may have before it gets no more calls.
+	mostWaiting = time.Second
 	// renewAhead is how long before its end a ticket may be renewed: the longest calls take that long.
 	renewAhead = 700 * time.Millisecond
 	// askPause is the shortest time between two questions for one step.
@@ -186,6 +188,10 @@
 			best = name
 		}
 	}
+	if best != "" && f.helpers[best].busyUntil-now > mostWaiting {
+		// More calls would only wait, or be rejected by the service; the most urgent steps ask again soon.
+		return ""
+	}
 	return best
 }
 
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -1,6 +1,8 @@
 package foreman
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"flamingodrift.example/controld/internal/allocator"
@@ -41,6 +43,9 @@
 	return false
 }
 
+// restPerStep is the time to the next round for each step that the last one looked at.
+const restPerStep = 250 * time.Microsecond
+
 // round is the input of one decision with the handles to read its outcome.
 type round struct {
 	now      time.Duration
@@ -59,6 +64,7 @@
 	if len(r.steps) == 0 {
 		return nil
 	}
+	f.restUntil = now + time.Duration(len(r.steps))*restPerStep
 	plan := f.alloc.Decide(r.workers, r.demands)
 	for _, handle := range plan.Preempt {
 		t := r.reclaim[handle]
@@ -128,7 +134,33 @@
 	return r.confirmed && spec.GetCheckpoints() && !spec.GetGang() && now-r.startedAt > reclaimAfter && r.number <= mostReclaimed
 }
 
+// mostDemands bounds the steps that one round looks at, most urgent first. A round over a whole backlog would hold up the
+// control thread for so long that the leader would lose its lease.
+const mostDemands = 80
+
+// waitingStep is a step with tasks to place.
+type waitingStep struct {
+	step     *batch.Step
+	tasks    []*batch.Task
+	lateness allocator.Lateness
+	urgency  int64
+}
+
 func (f *Foreman) addDemands(r *round) {
+	waiting := f.waitingSteps(r.now)
+	if len(waiting) == 0 {
+		return
+	}
+	f.addWorkers(r)
+	for _, w := range waiting[:min(len(waiting), mostDemands)] {
+		f.addDemand(r, w)
+	}
+}
+
+// waitingSteps returns the steps with tasks to place, most urgent first. Each priority keeps a share of the places, so that
+// a backlog of one does not hide the others.
+func (f *Foreman) waitingSteps(now time.Duration) []waitingStep {
+	var waiting []waitingStep
 	for _, j := range f.batch.Active() {
 		if j.Ended() {
 			continue
@@ -137,18 +169,35 @@
 			if !step.Ready() {
 				continue
 			}
-			tasks := waitingTasks(step)
-			if len(tasks) == 0 {
-				continue
-			}
-			if r.sessions == nil {
-				f.addWorkers(r)
+			if tasks := waitingTasks(step); len(tasks) > 0 {
+				w := waitingStep{step: step, tasks: tasks}
+				w.urgency, w.lateness = f.urgency(step, now)
+				waiting = append(waiting, w)
 			}
-			f.addDemand(r, step, tasks)
 		}
 	}
+	if len(waiting) <= mostDemands {
+		return waiting
+	}
+	priority := func(w waitingStep) uint32 { return w.step.Job().Queue().GetPriority() }
+	slices.SortStableFunc(waiting, func(a, b waitingStep) int {
+		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(priority(a), priority(b)), cmp.Compare(a.urgency, b.urgency))
+	})
+	taken := map[uint32]int{}
+	var first, rest []waitingStep
+	for _, w := range waiting {
+		if taken[priority(w)]++; taken[priority(w)] <= mostDemands/shareOfDemands {
+			first = append(first, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	return append(first, rest...)
 }
 
+// shareOfDemands is the inverse of the share of the places that each priority keeps.
+const shareOfDemands = 4
+
 // waitingTasks returns the tasks that may be placed; of a gang all or none.
 func waitingTasks(step *batch.Step) []*batch.Task {
 	var tasks []*batch.Task
@@ -163,7 +212,8 @@
 	return tasks
 }
 
-func (f *Foreman) addDemand(r *round, step *batch.Step, tasks []*batch.Task) {
+func (f *Foreman) addDemand(r *round, w waitingStep) {
+	step := w.step
 	queue, spec := step.Job().Queue(), step.Spec()
 	if policy := queue.GetConsent(); policy != nil && len(f.consent(step).granted) == 0 {
 		f.ask(step, policy, false, r.now)
@@ -173,8 +223,8 @@
 		Priority: int(queue.GetPriority()), Need: step.Need(), Gang: spec.GetGang(), OneRack: spec.GetOneRack(),
 		DataRack: spec.GetDataRack(), MostPerWorker: int(spec.GetMostPerWorker()),
 	}
-	d.Urgency, d.Lateness = f.urgency(step, r.now)
-	for _, t := range tasks {
+	d.Urgency, d.Lateness = w.urgency, w.lateness
+	for _, t := range w.tasks {
 		task := allocator.Task{Index: t.Index(), Last: t.FailuresLeft() <= 1}
 		if t.Failed() {
 			for i, s := range r.sessions {
@@ -219,20 +269,41 @@
 // lateFactor is how many objectives a job may take and still be worth something to its caller.
 const lateFactor = 3
 
+// prospect is what a leader knows of a job's time: it is worked out once, when the job is accepted or taken over.
+type prospect struct {
+	acceptedAt time.Duration
+	objective  time.Duration
+	// rests are the lengths of the longest chain of work from each step on.
+	rests []time.Duration
+}
+
+func newProspect(j *batch.Job, now time.Duration) prospect {
+	p := prospect{acceptedAt: now, rests: make([]time.Duration, len(j.Steps()))}
+	var longest time.Duration
+	for number := len(p.rests) - 1; number >= 0; number-- {
+		spec := j.Steps()[number].Spec()
+		p.rests[number] += time.Duration(spec.GetEstimateMs()) * time.Millisecond
+		longest = max(longest, p.rests[number])
+		for _, before := range spec.GetAfter() {
+			p.rests[before] = max(p.rests[before], p.rests[number])
+		}
+	}
+	p.objective = time.Duration(j.Queue().GetStretch()*float64(longest)) +
+		time.Duration(j.Queue().GetAllowanceMs())*time.Millisecond
+	return p
+}
+
 // urgency returns by when a step must start to meet its objective, in milliseconds of this host's clock, and whether that
 // can still be met.
 func (f *Foreman) urgency(step *batch.Step, now time.Duration) (int64, allocator.Lateness) {
-	j := step.Job()
-	chain := chainFrom(j, 0)
-	objective := time.Duration(j.Queue().GetStretch()*float64(chain))*time.Millisecond +
-		time.Duration(j.Queue().GetAllowanceMs())*time.Millisecond
-	rest := time.Duration(chainFrom(j, step.Number())) * time.Millisecond
-	slack := objective - rest
-	weighted := f.accepted[j] + time.Duration(float64(slack)*f.sizeWeight(j))
+	p := f.prospects[step.Job()]
+	rest := p.rests[step.Number()]
+	slack := p.objective - rest
+	weighted := p.acceptedAt + time.Duration(float64(slack)*f.sizeWeight(step.Job()))
 	switch {
-	case now <= f.accepted[j]+slack:
+	case now <= p.acceptedAt+slack:
 		return weighted.Milliseconds(), allocator.InTime
-	case now <= f.accepted[j]+lateFactor*objective-rest:
+	case now <= p.acceptedAt+lateFactor*p.objective-rest:
 		return weighted.Milliseconds(), allocator.Late
 	default:
 		return weighted.Milliseconds(), allocator.Overdue
@@ -275,24 +346,6 @@
 	f.meanWork[queue] = size
 }
 
-// chainFrom returns the length in milliseconds of the longest chain of estimates that begins at a step or, for step 0,
-// anywhere.
-func chainFrom(j *batch.Job, first int) int64 {
-	longest := make([]int64, len(j.Steps()))
-	var most int64
-	for number, step := range j.Steps() {
-		if number < first || step.Done() && first > 0 {
-			continue
-		}
-		for _, before := range step.Spec().GetAfter() {
-			longest[number] = max(longest[number], longest[before])
-		}
-		longest[number] += int64(step.Spec().GetEstimateMs())
-		most = max(most, longest[number])
-	}
-	return most
-}
-
 func (f *Foreman) speedOf(worker string) float64 {
 	if s := f.speeds[worker]; s != nil && s.count >= 3 {
 		return s.ratio
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -35,17 +35,17 @@
 
 // Foreman holds what a leader knows beside the log. It belongs to one term and one control thread.
 type Foreman struct {
-	cfg      Config
-	batch    *batch.Batch
-	token    uint64
-	since    time.Duration
-	alloc    *allocator.Allocator
-	sessions map[string]*session
-	consents map[*batch.Step]*consent
-	helpers  map[string]*helper
-	accepted map[*batch.Job]time.Duration
-	ended    []endedJob
-	speeds   map[string]*speed
+	cfg       Config
+	batch     *batch.Batch
+	token     uint64
+	since     time.Duration
+	alloc     *allocator.Allocator
+	sessions  map[string]*session
+	consents  map[*batch.Step]*consent
+	helpers   map[string]*helper
+	prospects map[*batch.Job]prospect
+	ended     []endedJob
+	speeds    map[string]*speed
 	// shares is the share of asked workers that were granted, by queue.
 	shares map[string]float64
 	// meanWork is the mean work of the jobs of a queue in core-milliseconds.
@@ -59,6 +59,8 @@
 	changed  bool
 	decideAt time.Duration
 	tendAt   time.Duration
+	// restUntil keeps rounds over many waiting steps apart.
+	restUntil time.Duration
 }
 
 type endedJob struct {
@@ -112,12 +114,12 @@
 	f := &Foreman{
 		cfg: cfg, batch: b, token: token, since: now, alloc: allocator.New(cfg.Allocator),
 		sessions: map[string]*session{}, consents: map[*batch.Step]*consent{}, helpers: map[string]*helper{},
-		accepted: map[*batch.Job]time.Duration{}, speeds: map[string]*speed{}, shares: map[string]float64{},
+		prospects: map[*batch.Job]prospect{}, speeds: map[string]*speed{}, shares: map[string]float64{},
 		meanWork: map[string]float64{},
 		changed:  true,
 	}
 	for _, j := range b.Active() {
-		f.accepted[j] = now
+		f.prospects[j] = newProspect(j, now)
 		f.noteWork(j)
 	}
 	for _, life := range b.Lives() {
@@ -136,7 +138,7 @@
 // Applied takes note of what a command has changed.
 func (f *Foreman) Applied(effect batch.Effect, now time.Duration) {
 	if j := effect.Accepted; j != nil {
-		f.accepted[j] = now
+		f.prospects[j] = newProspect(j, now)
 		f.noteWork(j)
 	}
 	for _, end := range effect.Ended {
@@ -176,7 +178,7 @@
 		return
 	}
 	logger.JobEnded.Log(f.cfg.Logger, "job", j.ID(), "queue", j.Queue().GetName(), "phase", j.Phase().String(),
-		"since_accepted_ms", (now - f.accepted[j]).Milliseconds(), "known_ms", (now - f.since).Milliseconds())
+		"since_accepted_ms", (now - f.prospects[j].acceptedAt).Milliseconds(), "known_ms", (now - f.since).Milliseconds())
 }
 
 // Proposed tells whether the command of the last Step was committed. What the log did not take is proposed again.
@@ -222,7 +224,7 @@
 	}
 	command := &wire.QueueCommand{Ends: f.ends, Gone: f.gone}
 	f.ends, f.gone = nil, nil
-	if f.changed || now >= f.decideAt {
+	if (f.changed || now >= f.decideAt) && now >= f.restUntil {
 		f.changed, f.decideAt = false, now+decideInterval
 		f.stopUnwanted(now)
 		command.Placements = f.decide(now)
@@ -246,10 +248,10 @@
 		command.Forget = append(command.Forget, f.ended[0].id)
 		f.ended = f.ended[1:]
 	}
-	if len(f.accepted) > 2*len(f.batch.Active())+forgetBatch {
-		for j := range f.accepted {
+	if len(f.prospects) > 2*len(f.batch.Active())+forgetBatch {
+		for j := range f.prospects {
 			if j.Ended() && j.Held() == 0 {
-				delete(f.accepted, j)
+				delete(f.prospects, j)
 			}
 		}
 	}
--- /dev/null
+++ b/core/consentserver/consentserver_test.go
@@ -0,0 +1,47 @@
+package consentserver_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/consentserver"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/wire"
+)
+
+type consenter struct {
+	consent courier.Consent
+	err     error
+}
+
+func (c consenter) Ask(context.Context, string, int, []string) (courier.Consent, error) {
+	return c.consent, c.err
+}
+
+// TestHandle guards that a failed call is not taken for a decision that grants no worker.
+func TestHandle(t *testing.T) {
+	tests := []struct {
+		name           string
+		consenter      consenter
+		answered, busy bool
+		tickets        int
+	}{
+		{name: "granted", consenter: consenter{consent: courier.Consent{Tickets: []courier.Ticket{{Worker: "w", Ticket: "t"}}}}, answered: true, tickets: 1},
+		{name: "none granted", answered: true},
+		{name: "busy", consenter: consenter{consent: courier.Consent{Busy: true}}, answered: true, busy: true},
+		{name: "failed", consenter: consenter{err: errors.New("no answer")}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := consentserver.New(consentserver.Config{Consenter: test.consenter, Logger: slog.New(slog.DiscardHandler)})
+			reply := s.Handle(t.Context(), &wire.ConsentCall{TimeoutMs: 1000}).GetConsent()
+			require.Equal(t, test.answered, reply.GetAnswered())
+			require.Equal(t, test.busy, reply.GetBusy())
+			require.Len(t, reply.GetTickets(), test.tickets)
+		})
+	}
+}
--- /dev/null
+++ b/core/queuecaller/queuecaller_test.go
@@ -0,0 +1,108 @@
+package queuecaller_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/locator"
+	"flamingodrift.example/core/messenger"
+	"flamingodrift.example/core/queuecaller"
+	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/wire"
+)
+
+func submit() *wire.QueueCall {
+	return &wire.QueueCall{Body: &wire.QueueCall_Submit{Submit: &wire.JobCall{}}}
+}
+
+func read() *wire.QueueCall {
+	return &wire.QueueCall{Body: &wire.QueueCall_State{State: &wire.JobCall{}}}
+}
+
+func replied(outcome wire.QueueOutcome) *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Queue{Queue: &wire.QueueReply{Outcome: outcome}}}
+}
+
+func noLeader() *wire.Reply {
+	return &wire.Reply{Body: &wire.Reply_Refusal{Refusal: &wire.Refusal{Reason: reason.NoLeader.String()}}}
+}
+
+// caller returns a Caller whose only control process answers with handler.
+func caller(t *testing.T, handler messenger.Handler) *queuecaller.Caller {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := messenger.New(messenger.Config{Token: "t", Handler: handler})
+	client := messenger.New(messenger.Config{Token: "t"})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+		_ = listener.Close()
+	})
+	return queuecaller.New(locator.New(locator.Config{Messenger: client, Controls: []string{listener.Addr().String()}}))
+}
+
+// TestOutcomes guards what a caller is told when no leader answers: "turned away" only when the job cannot have been
+// stored, as it may be run otherwise.
+func TestOutcomes(t *testing.T) {
+	silent := func(ctx context.Context, _ *wire.Request) *wire.Reply {
+		<-ctx.Done()
+		return nil
+	}
+	always := func(reply *wire.Reply) messenger.Handler {
+		return func(context.Context, *wire.Request) *wire.Reply { return reply }
+	}
+	ok, unknown := wire.QueueOutcome_QUEUE_OUTCOME_OK, wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN
+	turnedAway := wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY
+	// thenTurnedAway says first that the fate is unknown.
+	thenTurnedAway := func() messenger.Handler {
+		var calls atomic.Int64
+		return func(context.Context, *wire.Request) *wire.Reply {
+			if calls.Add(1) == 1 {
+				return replied(unknown)
+			}
+			return replied(turnedAway)
+		}
+	}
+	thenOK := func() messenger.Handler {
+		var calls atomic.Int64
+		return func(context.Context, *wire.Request) *wire.Reply {
+			if calls.Add(1) == 1 {
+				return replied(unknown)
+			}
+			return replied(ok)
+		}
+	}
+	tests := []struct {
+		name    string
+		handler messenger.Handler
+		call    *wire.QueueCall
+		outcome wire.QueueOutcome
+	}{
+		{"answered", always(replied(ok)), submit(), ok},
+		{"no leader", always(noLeader()), submit(), turnedAway},
+		{"no answer to a change", silent, submit(), unknown},
+		{"no answer to a question", silent, read(), turnedAway},
+		{"unknown, then turned away", thenTurnedAway(), submit(), unknown},
+		{"unknown, then stored", thenOK(), submit(), ok},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			require.Equal(t, test.outcome, caller(t, test.handler).Call(ctx, test.call).GetOutcome())
+		})
+	}
+}
+
+// TestRetryAfter guards that a caller without a leader is told when to come back.
+func TestRetryAfter(t *testing.T) {
+	reply := caller(t, func(context.Context, *wire.Request) *wire.Reply { return noLeader() }).Call(t.Context(), submit())
+	require.Positive(t, reply.GetRetryAfterMs())
+}
