Count and time what becomes of calls, jobs and runs; write the log without blocking

Cause: on call there were refusal counters only, and a stalled reader of the log would have held up the control thread.

--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	joinInterval = 300 * time.Millisecond
+	joinInterval = time.Second
 	joinTimeout  = 900 * time.Millisecond
+	// queueJoinInterval lets a group with queues be complete before the first callers come.
+	queueJoinInterval = 300 * time.Millisecond
 	// replaceAfter is how long a voter must be silent before a caught-up non-voter takes its place. Freezes and cuts of a
 	// few seconds are over by then.
 	replaceAfter = 7 * time.Second
@@ -68,7 +70,11 @@
 // seekMembership asks the peers in turn for admission while this node is no member. A member that hears from no leader
 // asks, too: it may have been removed, and the others do not send to it then.
 func (c *Controller) seekMembership(now time.Duration) {
-	if now-c.lastJoin < joinInterval || len(c.cfg.Peers) == 0 {
+	interval := joinInterval
+	if c.cfg.Queues != nil {
+		interval = queueJoinInterval
+	}
+	if now-c.lastJoin < interval || len(c.cfg.Peers) == 0 {
 		return
 	}
 	if c.isMember() && c.repl.Silence(now) < 2*c.cfg.ElectionMax {
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -63,7 +63,9 @@
 
 func (c *Controller) startQueues(now time.Duration) {
 	if c.cfg.Queues != nil {
-		c.foreman = foreman.New(c.cfg.Queues.Foreman, c.cell.Batch(), c.repl.Term(), now)
+		config := c.cfg.Queues.Foreman
+		config.Meter = c.cfg.Meter
+		c.foreman = foreman.New(config, c.cell.Batch(), c.repl.Term(), now)
 	}
 }
 
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -275,6 +275,8 @@
 	objective  time.Duration
 	// rests are the lengths of the longest chain of work from each step on.
 	rests []time.Duration
+	// started is set once the job's first run was placed by this leader.
+	started bool
 }
 
 func newProspect(j *batch.Job, now time.Duration) prospect {
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -29,10 +29,29 @@
 	// Forget is how long an ended job is remembered.
 	Forget time.Duration
 	Logger *slog.Logger
+	// Meter counts what becomes of jobs and runs; nil counts nothing.
+	Meter Meter
 	// Allocator is the placement policy.
 	Allocator allocator.Config
 }
 
+// Meter counts what becomes of jobs and runs.
+type Meter interface {
+	// JobStarted records how long a job waited for its first run.
+	JobStarted(queue string, waited time.Duration)
+	// JobEnded records how long a job took and how it ended.
+	JobEnded(queue, phase string, took time.Duration)
+	// RunEnded counts the end of a run by its reason.
+	RunEnded(why string)
+}
+
+// silentMeter counts nothing.
+type silentMeter struct{}
+
+func (silentMeter) JobStarted(string, time.Duration)       {}
+func (silentMeter) JobEnded(string, string, time.Duration) {}
+func (silentMeter) RunEnded(string)                        {}
+
 // Foreman holds what a leader knows beside the log. It belongs to one term and one control thread.
 type Foreman struct {
 	cfg       Config
@@ -111,6 +130,9 @@
 
 // New returns the Foreman of a new leader.
 func New(cfg Config, b *batch.Batch, token uint64, now time.Duration) *Foreman {
+	if cfg.Meter == nil {
+		cfg.Meter = silentMeter{}
+	}
 	f := &Foreman{
 		cfg: cfg, batch: b, token: token, since: now, alloc: allocator.New(cfg.Allocator),
 		sessions: map[string]*session{}, consents: map[*batch.Step]*consent{}, helpers: map[string]*helper{},
@@ -147,7 +169,7 @@
 	for _, t := range effect.Placed {
 		f.start(t, now)
 	}
-	f.logPlaced(effect.Placed)
+	f.logPlaced(effect.Placed, now)
 	for _, id := range f.batch.TakeFinished() {
 		f.ended = append(f.ended, endedJob{id, now})
 		f.logEnded(f.batch.Job(id), now)
@@ -156,7 +178,7 @@
 }
 
 // logPlaced writes one line for the tasks of a step that were placed together.
-func (f *Foreman) logPlaced(placed []*batch.Task) {
+func (f *Foreman) logPlaced(placed []*batch.Task, now time.Duration) {
 	for len(placed) > 0 {
 		step := placed[0].Step()
 		count := 1
@@ -169,6 +191,11 @@
 		}
 		logger.RunPlaced.Log(f.cfg.Logger, "job", step.Job().ID(), "step", step.Number(), "run", placed[0].Run(),
 			"first_index", placed[0].Index(), "workers", workers, "token", f.token)
+		if p, ok := f.prospects[step.Job()]; ok && !p.started {
+			p.started = true
+			f.prospects[step.Job()] = p
+			f.cfg.Meter.JobStarted(step.Job().Queue().GetName(), now-p.acceptedAt)
+		}
 		placed = placed[count:]
 	}
 }
@@ -177,10 +204,18 @@
 	if j == nil {
 		return
 	}
-	logger.JobEnded.Log(f.cfg.Logger, "job", j.ID(), "queue", j.Queue().GetName(), "phase", j.Phase().String(),
+	f.cfg.Meter.JobEnded(j.Queue().GetName(), phaseName(j), now-f.prospects[j].acceptedAt)
+	logger.JobEnded.Log(f.cfg.Logger, "job", j.ID(), "queue", j.Queue().GetName(), "phase", phaseName(j),
 		"since_accepted_ms", (now - f.prospects[j].acceptedAt).Milliseconds(), "known_ms", (now - f.since).Milliseconds())
 }
 
+var phaseNames = map[wire.JobPhase]string{
+	wire.JobPhase_JOB_PHASE_COMPLETED: "completed", wire.JobPhase_JOB_PHASE_FAILED: "failed",
+	wire.JobPhase_JOB_PHASE_CANCELED: "canceled",
+}
+
+func phaseName(j *batch.Job) string { return phaseNames[j.Phase()] }
+
 // Proposed tells whether the command of the last Step was committed. What the log did not take is proposed again.
 func (f *Foreman) Proposed(committed bool, now time.Duration) {
 	command := f.proposed
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -198,6 +198,7 @@
 func (f *Foreman) end(s *session, t *batch.Task, r *run, outcome wire.RunOutcome, checkpoint, why string, now time.Duration) {
 	r.ending = true
 	f.changed = true
+	f.cfg.Meter.RunEnded(why)
 	f.ends = append(f.ends, &wire.RunEnd{
 		Job: t.Step().Job().ID(), Step: uint32(t.Step().Number()), Index: uint32(t.Index()), Run: uint32(r.number),
 		Outcome: outcome, Checkpoint: checkpoint,
--- a/controld/main.go
+++ b/controld/main.go
@@ -27,6 +27,7 @@
 	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/kratoslogger"
+	"flamingodrift.example/core/linewriter"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/messenger"
@@ -72,16 +73,20 @@
 		}
 		return
 	}
-	log := logger.New(os.Stdout, "controld", cfg.Name)
+	out := linewriter.New(os.Stdout)
+	log := logger.New(out, "controld", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(args.Settings, cfg, log); errors.Is(err, controller.ErrRemoved) && cfg.Queues.Address != "" {
+	err := run(args.Settings, cfg, log)
+	if errors.Is(err, controller.ErrRemoved) && cfg.Queues.Address != "" {
 		// The group goes on without this data folder; the next start joins it anew.
-		if err := store.Clear(cfg.DataFolder); err != nil {
-			logger.Fatal.Log(log, "error", err.Error())
+		if clearErr := store.Clear(cfg.DataFolder); clearErr != nil {
+			logger.Fatal.Log(log, "error", clearErr.Error())
 		}
-		os.Exit(1)
 	} else if err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -61,5 +61,6 @@
 	TargetOwned     = define(3101, slog.LevelInfo, "this entry process now owns the target")
 	TargetReleased  = define(3102, slog.LevelInfo, "this entry process no longer owns the target")
 	TargetUnhealthy = define(3103, slog.LevelWarn, "target failed requests; it gets a smaller share")
+	CallFailed      = define(3301, slog.LevelWarn, "call about a queue was not answered with success")
 	RequestUnknown  = define(3201, slog.LevelWarn, "request ended with an unknown outcome")
 )
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -23,6 +24,10 @@
 	refusals metric.Int64Counter
 	retries  metric.Int64Counter
 	outcomes metric.Int64Counter
+	calls    metric.Float64Histogram
+	starts   metric.Float64Histogram
+	jobs     metric.Float64Histogram
+	runs     metric.Int64Counter
 }
 
 // New returns a Meter for a program.
@@ -42,15 +47,57 @@
 		{&m.refusals, "flamingodrift_refusals", "Refused requests and changes by reason."},
 		{&m.retries, "flamingodrift_retries", "Retried requests by reason."},
 		{&m.outcomes, "flamingodrift_outcomes", "Callers' requests by outcome."},
+		{&m.runs, "flamingodrift_runs", "Runs of submitted jobs by how they ended."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
 			return nil, fmt.Errorf("create counter %s: %w", c.name, err)
 		}
 	}
+	histograms := []struct {
+		histogram *metric.Float64Histogram
+		name      string
+		text      string
+	}{
+		{&m.calls, "flamingodrift_call", "How long calls about queues took, by method and status."},
+		{&m.starts, "flamingodrift_job_start", "From the acceptance of a submitted job to its first run, by queue."},
+		{&m.jobs, "flamingodrift_job", "From the acceptance of a submitted job to its end, by queue and how it ended."},
+	}
+	for _, h := range histograms {
+		*h.histogram, err = m.meter.Float64Histogram(h.name, metric.WithDescription(h.text), metric.WithUnit("s"),
+			metric.WithExplicitBucketBoundaries(latencyBounds...))
+		if err != nil {
+			return nil, fmt.Errorf("create histogram %s: %w", h.name, err)
+		}
+	}
 	return m, nil
 }
 
+// latencyBounds are the upper bounds of the histograms' buckets in seconds.
+var latencyBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60}
+
+// Called records how long a call about queues took.
+func (m *Meter) Called(method string, status int, took time.Duration) {
+	m.calls.Record(context.Background(), took.Seconds(), metric.WithAttributes(
+		attribute.String("method", method), attribute.Int("status", status)))
+}
+
+// JobStarted records how long a submitted job waited for its first run.
+func (m *Meter) JobStarted(queue string, waited time.Duration) {
+	m.starts.Record(context.Background(), waited.Seconds(), metric.WithAttributes(attribute.String("queue", queue)))
+}
+
+// JobEnded records how long a submitted job took and how it ended.
+func (m *Meter) JobEnded(queue, phase string, took time.Duration) {
+	m.jobs.Record(context.Background(), took.Seconds(), metric.WithAttributes(
+		attribute.String("queue", queue), attribute.String("phase", phase)))
+}
+
+// RunEnded counts the end of a run by its reason.
+func (m *Meter) RunEnded(why string) {
+	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", why)))
+}
+
 // Refused counts a refusal.
 func (m *Meter) Refused(r reason.Reason) {
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", r.String())))
--- a/frontd/daemon.go
+++ b/frontd/daemon.go
@@ -15,6 +15,7 @@
 	"flamingodrift.example/core/consentserver"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/locator"
+	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/queuecaller"
@@ -43,6 +44,8 @@
 	consent   *consentserver.Server
 	servers   []*khttp.Server
 	clock     clock.Clock
+	log       *slog.Logger
+	lines     lineLimit
 	leaving   atomic.Bool
 	cancel    context.CancelFunc
 	ctx       context.Context
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, oops.In("meter").Wrapf(err, "create counters")
 	}
-	d := &daemon{}
+	d := &daemon{log: log}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.messenger = messenger.New(messenger.Config{
 		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle, KeepAlive: keepAlive,
@@ -63,7 +66,7 @@
 		Name: cfg.Name, Address: cfg.Address, Consenter: consentclient.New(cfg.ConsentAddress), Leader: d.leader, Logger: log,
 	})
 	callers := newServer(cfg.CallerAddress)
-	callers.HandlePrefix("/", d.closing(jobhandler.New(queuecaller.New(d.leader))))
+	callers.HandlePrefix("/", d.observed(counters, d.closing(jobhandler.New(queuecaller.New(d.leader)))))
 	ready := newServer(cfg.ReadyAddress)
 	ready.HandlePrefix("/", http.HandlerFunc(d.ready))
 	metrics := newServer(cfg.MetricsAddress)
@@ -84,6 +87,33 @@
 	return server
 }
 
+// statusWriter remembers the status of a response.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// observed measures each call, and logs those that were not answered with success.
+func (d *daemon) observed(counters *meter.Meter, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began := d.clock.Now()
+		recorder := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(recorder, r)
+		took := d.clock.Now() - began
+		counters.Called(r.Method, recorder.status, took)
+		if recorder.status >= http.StatusInternalServerError && d.lines.take(began) {
+			logger.CallFailed.Log(d.log, "method", r.Method, "path", r.URL.Path, "status", recorder.status,
+				"took_ms", took.Milliseconds(), "leader_heard", d.consent.HeardLeader(began, leaderSilence))
+		}
+	})
+}
+
 // closing asks callers to close their connections while this process leaves.
 func (d *daemon) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/frontd/main.go
+++ b/frontd/main.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"flamingodrift.example/core/kratoslogger"
+	"flamingodrift.example/core/linewriter"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/frontd/internal/settings"
@@ -47,10 +48,15 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	log := logger.New(os.Stdout, "frontd", cfg.Name)
+	out := linewriter.New(os.Stdout)
+	log := logger.New(out, "frontd", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(args.Settings, cfg, log); err != nil {
+	err := run(args.Settings, cfg, log)
+	if err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
