Wait for a worker's new life before its tasks are placed anew; add a fault soak

Cause: in soak seed 1 a worker restarted under its id while a start was on its way. The start reached the new life, whose clock and fencing token began anew; the task ran twice and the worker got more runs than it has room for.

Ruled out: a late order of an earlier leader (one leader all the while); the stand-in (it answers what the platform's pages say of a new life).

Change: a task is placed only once its last worker's present life has answered and does not list the run; a worker that lists runs the log does not hold gets no new ones until they ended; the fencing token rises with each life of a worker within a term; a success of such a run counts.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -207,7 +207,7 @@
 			continue
 		}
 		life.take(t)
-		t.life, t.previousRun, t.run = life, t.run, int(p.GetRun())
+		t.life, t.previousRun, t.run, t.lastWorker = life, t.run, int(p.GetRun()), life.worker
 		t.step.job.held++
 		taken = append(taken, t)
 	}
@@ -230,13 +230,19 @@
 
 func (b *Batch) endRun(end *wire.RunEnd, effect *Effect) {
 	t := b.task(end.GetJob(), end.GetStep(), end.GetIndex())
-	if t == nil || t.life == nil || t.run != int(end.GetRun()) {
+	if t == nil || t.run != int(end.GetRun()) {
 		return
 	}
-	worker := t.life.worker
-	t.release()
-	effect.Ended = append(effect.Ended, EndedRun{Task: t, Worker: worker, Outcome: end.GetOutcome()})
 	j := t.step.job
+	worker := t.lastWorker
+	switch {
+	case t.life != nil:
+		t.release()
+		effect.Ended = append(effect.Ended, EndedRun{Task: t, Worker: worker, Outcome: end.GetOutcome()})
+	case end.GetOutcome() != wire.RunOutcome_RUN_OUTCOME_DONE || t.done || j.Ended():
+		// Of a run that was given up only its success still counts: its start arrived late, at a later life of the worker.
+		return
+	}
 	if end.GetCheckpoint() != "" {
 		t.step.saveCheckpoint(t, end.GetCheckpoint())
 	}
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -176,7 +176,9 @@
 	failures    int
 	done        bool
 	// life holds the run; nil while the task has none.
-	life       *Life
+	life *Life
+	// lastWorker is the worker of the newest run.
+	lastWorker string
 	checkpoint string
 	failedOn   []string
 }
@@ -193,6 +195,9 @@
 // Life returns the worker that holds the task's run; nil when there is no run.
 func (t *Task) Life() *Life { return t.life }
 
+// LastWorker returns the worker of the newest run; empty when there was none.
+func (t *Task) LastWorker() string { return t.lastWorker }
+
 // Done reports whether the task is done.
 func (t *Task) Done() bool { return t.done }
 
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -47,6 +47,7 @@
 			record := &wire.BatchTaskState{
 				Step: uint32(s.number), Index: uint32(t.index), Run: uint32(t.run), Failures: uint32(s.failures(t)),
 				Done: t.done, Checkpoint: t.checkpoint, FailedOn: t.failedOn, LastFailed: uint32(s.lastFailed),
+				LastWorker: t.lastWorker,
 			}
 			if t.life != nil {
 				record.Worker, record.BornUnixMs = t.life.worker, t.life.born
@@ -88,6 +89,7 @@
 	s := j.steps[record.GetStep()]
 	t := s.tasks[record.GetIndex()]
 	t.run, t.checkpoint, t.failedOn = int(record.GetRun()), record.GetCheckpoint(), record.GetFailedOn()
+	t.lastWorker = record.GetLastWorker()
 	if s.spec.GetGang() {
 		s.failedRuns = int(record.GetFailures())
 		s.lastFailed = int(record.GetLastFailed())
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -65,7 +65,7 @@
 
 func (f *fleet) config() *QueueConfig {
 	return &QueueConfig{Courier: f, LeastVoters: 3, Foreman: foreman.Config{
-		Lease: 4 * time.Second, Wait: 0, AnswerTimeout: 400 * time.Millisecond, StartLease: 1500 * time.Millisecond,
+		Lease: 4 * time.Second, LongestLease: 10 * time.Second, Wait: 0, AnswerTimeout: 400 * time.Millisecond, StartLease: 1500 * time.Millisecond,
 		ClockDriftPercent: 2, Forget: time.Hour, Logger: slog.New(slog.DiscardHandler),
 		Allocator: allocator.Config{ReservingGangs: 2},
 	}}
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -169,7 +169,7 @@
 			if !step.Ready() {
 				continue
 			}
-			if tasks := waitingTasks(step); len(tasks) > 0 {
+			if tasks := f.waitingTasks(step, now); len(tasks) > 0 {
 				w := waitingStep{step: step, tasks: tasks}
 				w.urgency, w.lateness = f.urgency(step, now)
 				waiting = append(waiting, w)
@@ -199,10 +199,10 @@
 const shareOfDemands = 4
 
 // waitingTasks returns the tasks that may be placed; of a gang all or none.
-func waitingTasks(step *batch.Step) []*batch.Task {
+func (f *Foreman) waitingTasks(step *batch.Step, now time.Duration) []*batch.Task {
 	var tasks []*batch.Task
 	for _, t := range step.Tasks() {
-		if t.Waiting() {
+		if t.Waiting() && f.settled(t, now) {
 			tasks = append(tasks, t)
 		}
 	}
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -18,6 +18,8 @@
 	// Lease is how long a worker may run without a renewal, on its own clock. It must outlast an election, and it is how
 	// long the runs of a worker that vanished stay out of reach.
 	Lease time.Duration
+	// LongestLease is the longest lease that workers accept.
+	LongestLease time.Duration
 	// Wait is how long a worker may wait for an end before it answers a renewal.
 	Wait time.Duration
 	// AnswerTimeout bounds the wait for an answer to an order, over Wait for a renewal.
@@ -70,6 +72,8 @@
 	// meanWork is the mean work of the jobs of a queue in core-milliseconds.
 	meanWork map[string]float64
 	out      Work
+	// lives counts the lives of workers in this term.
+	lives uint64
 	// ends and gone wait for the next command.
 	ends []*wire.RunEnd
 	gone []*wire.WorkerLife
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -53,7 +53,7 @@
 // lead starts a new term.
 func (d *desk) lead(token uint64) {
 	d.Foreman = New(Config{
-		Lease: testLease, Wait: time.Second, AnswerTimeout: 400 * time.Millisecond, StartLease: testStart,
+		Lease: testLease, LongestLease: 10 * time.Second, Wait: time.Second, AnswerTimeout: 400 * time.Millisecond, StartLease: testStart,
 		ClockDriftPercent: 2, Forget: time.Minute, Logger: slog.New(slog.DiscardHandler),
 		Allocator: allocator.Config{ReservingGangs: 1},
 	}, d.batch, token, d.now)
@@ -142,7 +142,7 @@
 	require.Empty(t, d.work.Starts)
 	d.renew(nil, nil)
 	d.turn(time.Millisecond)
-	require.Equal(t, uint64(7), d.start().Order.Token)
+	require.Equal(t, uint64(7), d.start().Order.Token>>livesBits)
 }
 
 // TestStartAnswers guards the fate of a run by the answer to its start.
@@ -518,3 +518,75 @@
 	leaving.Draining = true
 	require.NotNil(t, d.Heard(leaving, d.now))
 }
+
+// TestStartReachesLaterLife guards the task of a worker that restarted under its id while a start was on its way: the start
+// may have reached the new life, so the task waits until that life has answered, its room is not given away, and a success
+// there counts. Seen in soak seed 1: the task ran twice and the worker got more than its room.
+func TestStartReachesLaterLife(t *testing.T) {
+	given := func(t *testing.T) (*desk, StartOrder) {
+		d := newDesk(t, nil, "w1", "w2")
+		d.ready()
+		d.submit(one())
+		d.turn(0)
+		o := d.start()
+		renews := d.work.Renews
+		d.work.Renews = nil
+		for _, renew := range renews {
+			if renew.Life != o.Life {
+				d.Renewed(renew, courier.Report{Born: 1}, d.answer(courier.Done), d.now)
+			}
+		}
+		d.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{life(o.Life.Worker(), 2)}})
+		d.turn(tendInterval)
+		require.Nil(t, d.task().Life())
+		require.Equal(t, 1, d.task().Run(), "the new life has not answered")
+		return d, o
+	}
+	// look answers the renewal of the new life.
+	look := func(d *desk, o StartOrder, report courier.Report) {
+		report.Born = 2
+		renews := d.work.Renews
+		d.work.Renews = nil
+		for _, renew := range renews {
+			if renew.Life.Worker() == o.Life.Worker() && renew.Life.Born() == 2 {
+				require.Greater(t, renew.Order.Token, o.Order.Token, "orders for the old life are refused from now on")
+				d.Renewed(renew, report, d.answer(courier.Done), d.now)
+			}
+		}
+		d.turn(time.Millisecond)
+	}
+	t.Run("it runs there", func(t *testing.T) {
+		d, o := given(t)
+		look(d, o, courier.Report{Running: []courier.Running{{Run: o.Order.Run}}})
+		require.Equal(t, 1, d.task().Run())
+		require.Len(t, d.work.Stops, 1)
+		require.False(t, d.usable(d.sessions[o.Life.Worker()], d.now), "its room is not known")
+		look(d, o, courier.Report{Ended: []courier.Ended{{Number: 1, Run: o.Order.Run, Outcome: courier.OutcomeStopped}}})
+		require.Equal(t, 2, d.task().Run())
+	})
+	t.Run("it was done there", func(t *testing.T) {
+		d, o := given(t)
+		look(d, o, courier.Report{Ended: []courier.Ended{{Number: 1, Run: o.Order.Run, Outcome: courier.OutcomeDone}}})
+		require.Equal(t, wire.JobPhase_JOB_PHASE_COMPLETED, d.batch.Job(job).Phase())
+	})
+	t.Run("it never came", func(t *testing.T) {
+		d, o := given(t)
+		look(d, o, courier.Report{})
+		require.Equal(t, 2, d.task().Run())
+	})
+	t.Run("the new life never answers", func(t *testing.T) {
+		d, _ := given(t)
+		d.now += 11 * time.Second
+		for range 3 {
+			renews := d.work.Renews
+			d.work.Renews = nil
+			for _, renew := range renews {
+				if renew.Life.Born() == 1 {
+					d.Renewed(renew, courier.Report{Born: 1}, d.answer(courier.Done), d.now)
+				}
+			}
+			d.turn(tendInterval)
+		}
+		require.Equal(t, 2, d.task().Run())
+	})
+}
--- a/controld/internal/foreman/order.go
+++ b/controld/internal/foreman/order.go
@@ -26,7 +26,7 @@
 	s.runs[t] = r
 	s.until = max(s.until, r.until)
 	order := courier.Start{
-		Run: nameOf(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: f.token, Until: r.until,
+		Run: nameOf(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: s.token, Until: r.until,
 		Checkpoint: t.Checkpoint(), Ticket: f.ticket(t.Step(), life, now),
 	}
 	f.out.Starts = append(f.out.Starts, StartOrder{To: address(life), Life: life, Task: t, Order: order})
@@ -93,7 +93,7 @@
 func (f *Foreman) sendStop(s *session, t *batch.Task, r *run, now time.Duration) {
 	r.stopSentAt = now
 	f.out.Stops = append(f.out.Stops, StopOrder{
-		To: address(s.life), Life: s.life, Task: t, Order: courier.Stop{Run: nameOf(t, r.number), Token: f.token},
+		To: address(s.life), Life: s.life, Task: t, Order: courier.Stop{Run: nameOf(t, r.number), Token: s.token},
 	})
 }
 
--- a/controld/internal/foreman/report.go
+++ b/controld/internal/foreman/report.go
@@ -55,6 +55,7 @@
 		t := f.find(s.life, e.Run)
 		r := s.runs[t]
 		if t == nil || r == nil || r.ending || r.number != e.Run.Run {
+			f.takeStrayEnd(s, e)
 			continue
 		}
 		f.learn(s, t, r, e.Outcome, now)
@@ -74,6 +75,20 @@
 	}
 }
 
+// takeStrayEnd takes in the success of a run that was given up, because its start reached a later life of its worker.
+func (f *Foreman) takeStrayEnd(s *session, e courier.Ended) {
+	t := f.batch.Task(e.Run.Job, e.Run.Step, e.Run.Index)
+	if e.Outcome != courier.OutcomeDone || t == nil || t.Done() || t.Life() != nil || t.Run() != e.Run.Run ||
+		t.LastWorker() != s.life.Worker() {
+		return
+	}
+	f.changed = true
+	f.ends = append(f.ends, &wire.RunEnd{
+		Job: e.Run.Job, Step: uint32(e.Run.Step), Index: uint32(e.Run.Index), Run: uint32(e.Run.Run),
+		Outcome: wire.RunOutcome_RUN_OUTCOME_DONE, Checkpoint: e.Checkpoint,
+	})
+}
+
 // find returns the task of a run that a life holds.
 func (f *Foreman) find(life *batch.Life, run courier.Run) *batch.Task {
 	t := f.batch.Task(run.Job, run.Step, run.Index)
@@ -86,6 +101,9 @@
 // compareRuns settles the runs whose fate was unknown by what the worker lists.
 func (f *Foreman) compareRuns(s *session, o RenewOrder, report courier.Report, now time.Duration) {
 	present := make(map[*batch.Task]courier.Running, len(report.Running))
+	// A worker without strays may get runs again.
+	f.changed = f.changed || len(s.strays) > 0
+	s.strays = nil
 	for _, running := range report.Running {
 		t := f.find(s.life, running.Run)
 		if r := s.runs[t]; t != nil && r != nil && r.number == running.Run.Run {
@@ -164,10 +182,14 @@
 	if t != nil && t.Life() == s.life && t.Run() == running.Run.Run {
 		return
 	}
+	if s.strays == nil {
+		s.strays = map[courier.Run]bool{}
+	}
+	s.strays[running.Run] = true
 	logger.StrayRun.Log(f.cfg.Logger, "worker", s.life.Worker(), "job", running.Run.Job, "step", running.Run.Step,
 		"index", running.Run.Index, "run", running.Run.Run, "at_ms", now.Milliseconds())
 	f.out.Stops = append(f.out.Stops, StopOrder{
-		To: address(s.life), Life: s.life, Order: courier.Stop{Run: running.Run, Token: f.token},
+		To: address(s.life), Life: s.life, Order: courier.Stop{Run: running.Run, Token: s.token},
 	})
 }
 
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -12,6 +12,12 @@
 // session is what a leader knows about one life of a worker.
 type session struct {
 	life *batch.Life
+	// token fences the orders to this life: it rises with the term and, within a term, with each life. Orders that were
+	// meant for an earlier life of the worker are refused once this life has seen it.
+	token uint64
+	since time.Duration
+	// strays are the runs that the life has and the log does not hold there.
+	strays map[courier.Run]bool
 	// clock is the worker's clock at the time clockAt of this host; hasClock is false before the first answer.
 	clock    time.Duration
 	clockAt  time.Duration
@@ -64,6 +70,10 @@
 	ending bool
 }
 
+// livesBits is the part of a fencing token that counts the lives of workers within a term. Together with eight million terms a
+// token stays below 2^53, which every reader of JSON numbers can hold.
+const livesBits = 30
+
 const (
 	renewRetry = 150 * time.Millisecond
 	stopRetry  = 500 * time.Millisecond
@@ -76,7 +86,10 @@
 	if s != nil && s.life == life {
 		return s
 	}
-	s = &session{life: life, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{}}
+	f.lives++
+	s = &session{
+		life: life, token: f.token<<livesBits + f.lives, since: now, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{},
+	}
 	for t := range life.Tasks() {
 		s.runs[t] = &run{number: t.Run(), inherited: true, unanswered: true, startedAt: now, movedAt: now}
 	}
@@ -123,7 +136,7 @@
 
 // usable reports whether new runs may be placed on a worker.
 func (f *Foreman) usable(s *session, now time.Duration) bool {
-	return s.known && !s.life.Draining() && !s.failing && now >= s.avoidUntil && now-s.answeredAt < f.cfg.Wait+f.cfg.AnswerTimeout
+	return s.known && len(s.strays) == 0 && !s.life.Draining() && !s.failing && now >= s.avoidUntil && now-s.answeredAt < f.cfg.Wait+f.cfg.AnswerTimeout
 }
 
 func (f *Foreman) tendSessions(now time.Duration) {
@@ -147,7 +160,7 @@
 }
 
 func (f *Foreman) renew(s *session, now time.Duration) {
-	order := courier.Renew{Token: f.token, Seen: s.seen, Wait: f.cfg.Wait}
+	order := courier.Renew{Token: s.token, Seen: s.seen, Wait: f.cfg.Wait}
 	if s.hasClock && !s.failing {
 		// A worker that hears but does not answer must not be renewed: its lease would never end.
 		order.Until = f.leaseEnd(s, now, f.cfg.Lease)
@@ -163,13 +176,31 @@
 // lapsed reports whether the lease of a worker is surely over, so that nothing runs there any more.
 func (f *Foreman) lapsed(s *session, now time.Duration) bool {
 	if !s.hasClock {
-		// An earlier leader may have renewed the lease until this one took over.
-		longest := f.cfg.Lease * 100 / time.Duration(100-f.cfg.ClockDriftPercent)
-		return now-f.since > longest+f.cfg.AnswerTimeout
+		// An earlier leader may have renewed the lease until this one took over, and an order for an earlier life may have
+		// reached this one, whose clock began anew: then the lease may be the longest that the worker accepts.
+		longest := f.cfg.LongestLease * 100 / time.Duration(100-f.cfg.ClockDriftPercent)
+		return now-s.since > longest+f.cfg.AnswerTimeout
 	}
 	return !s.renewing && f.clockNow(s, now) > s.until && f.clockNow(s, now) > f.inheritedUntil(s)
 }
 
+// settled reports whether the newest run of a task can neither be at work nor start any more. While the worker that had
+// it has begun a new life which has not answered yet, the start may have reached that life.
+func (f *Foreman) settled(t *batch.Task, now time.Duration) bool {
+	life := f.batch.Life(t.LastWorker())
+	if life == nil {
+		return true
+	}
+	s := f.sessions[life.Worker()]
+	if s == nil || s.life != life {
+		return false
+	}
+	if !s.known {
+		return f.lapsed(s, now)
+	}
+	return !s.strays[nameOf(t, t.Run())]
+}
+
 // inheritedUntil bounds the leases that an earlier leader has sent, on the worker's clock.
 func (f *Foreman) inheritedUntil(s *session) time.Duration {
 	return s.clock - (s.clockAt - f.since) + f.cfg.Lease + f.cfg.AnswerTimeout
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -75,7 +75,7 @@
 		Courier: orderclient.New(), WorkerAddress: cfg.Queues.Address,
 		LeastVoters: 2*cfg.Queues.LostDisks + 1,
 		Foreman: foreman.Config{
-			Lease: lease, Wait: renewWait, AnswerTimeout: orderTimeout, StartLease: startLease,
+			Lease: lease, LongestLease: loader.Milliseconds(cfg.Queues.LongestLeaseMs), Wait: renewWait, AnswerTimeout: orderTimeout, StartLease: startLease,
 			ClockDriftPercent: workerDriftPercent, Forget: forgetAfter, Logger: log,
 			Allocator: allocator.Config{Headroom: headroom, ReservingGangs: reservingGangs},
 		},
--- /dev/null
+++ b/standin/internal/soaker/fleet.go
@@ -0,0 +1,300 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/wire"
+	"flamingodrift.example/platform/workerserver"
+)
+
+const (
+	workerPort  = 8000
+	roomOfFleet = 3
+	taskLength  = 300 * time.Millisecond
+	stopLength  = 50 * time.Millisecond
+	longestHold = 10 * time.Second
+	fleetPulse  = 10 * time.Millisecond
+	latestOrder = 4 * time.Second
+)
+
+// fleet are stand-in workers. It checks, from what workers see, that no task runs twice at a time or again after its end
+// was acknowledged as done, that no worker gets more runs than it has room for, and that nothing starts of a job that was
+// refused.
+type fleet struct {
+	mu         sync.Mutex
+	rand       *rand.Rand
+	began      time.Time
+	workers    []*worker
+	running    map[courier.Run]int
+	done       map[courier.Run]bool
+	started    map[string]bool
+	violations []string
+}
+
+// worker is one stand-in worker.
+type worker struct {
+	fleet   *fleet
+	name    string
+	address string
+	born    int64
+	server  *http.Server
+
+	token   uint64
+	until   time.Time
+	runs    map[courier.Run]*fleetRun
+	settled map[courier.Run]int
+	ended   []courier.Ended
+	next    uint64
+	// lost is the share of orders that get no answer.
+	lost float64
+}
+
+type fleetRun struct {
+	number int
+	ends   time.Time
+	// stopping is set once the run was told to stop.
+	stopping bool
+}
+
+func newFleet(seed uint64, subnet string, count int) (*fleet, error) {
+	f := &fleet{
+		rand: rand.New(rand.NewPCG(seed, 2)), began: time.Now(), running: map[courier.Run]int{}, done: map[courier.Run]bool{},
+		started: map[string]bool{},
+	}
+	for i := range count {
+		w := &worker{fleet: f, name: fmt.Sprintf("i-%04d", i), address: fmt.Sprintf("%s.%d:%d", subnet, 101+i, workerPort)}
+		w.reset(time.Now())
+		listener, err := net.Listen("tcp", w.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen for worker %s: %w", w.name, err)
+		}
+		w.server = &http.Server{Handler: workerserver.New(w), ReadHeaderTimeout: time.Second}
+		go func() { _ = w.server.Serve(listener) }()
+		f.workers = append(f.workers, w)
+	}
+	return f, nil
+}
+
+func (f *fleet) close() {
+	for _, w := range f.workers {
+		_ = w.server.Close()
+	}
+}
+
+func (f *fleet) violate(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%.3f s: ", time.Since(f.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// reset begins a new life, which knows nothing of the one before.
+func (w *worker) reset(now time.Time) {
+	for k := range w.runs {
+		w.fleet.running[k]--
+	}
+	w.born, w.token, w.until, w.next, w.ended = now.UnixMilli(), 0, now, 0, nil
+	w.runs, w.settled = map[courier.Run]*fleetRun{}, map[courier.Run]int{}
+}
+
+func (w *worker) life() *wire.WorkerLife {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	return &wire.WorkerLife{
+		Worker: w.name, BornUnixMs: w.born, Address: w.address, Pool: "pool", FailureDomain: "a", Rack: "r1",
+		CpuMillis: roomOfFleet * 1000, MemoryMb: 1000,
+	}
+}
+
+// pulse ends the runs whose time has come or whose lease is over, until the context ends.
+func (f *fleet) pulse(ctx context.Context) {
+	ticker := time.NewTicker(fleetPulse)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f.mu.Lock()
+			for _, w := range f.workers {
+				w.pass(now)
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+func (w *worker) pass(now time.Time) {
+	for k, r := range w.runs {
+		switch {
+		case now.After(w.until):
+			w.end(k, courier.OutcomeLapsed)
+		case now.After(r.ends) && r.stopping:
+			w.end(k, courier.OutcomeStopped)
+		case now.After(r.ends):
+			w.end(k, courier.OutcomeDone)
+		}
+	}
+}
+
+func (w *worker) end(k courier.Run, outcome courier.Outcome) {
+	number := w.runs[k].number
+	delete(w.runs, k)
+	w.fleet.running[k]--
+	w.settled[k] = max(w.settled[k], number)
+	w.next++
+	named := k
+	named.Run = number
+	w.ended = append(w.ended, courier.Ended{Number: w.next, Run: named, Outcome: outcome})
+}
+
+// clock is the worker's own steady clock, which began with its life.
+func (w *worker) clock(now time.Time) time.Duration {
+	return now.Sub(time.UnixMilli(w.born)) + time.Hour
+}
+
+func (w *worker) at(clock time.Duration) time.Time {
+	return time.UnixMilli(w.born).Add(clock - time.Hour)
+}
+
+func (w *worker) answer(verdict courier.Verdict) courier.Answer {
+	return courier.Answer{Verdict: verdict, Clock: w.clock(time.Now()), HasClock: true}
+}
+
+// meet loses a share of the orders; a lost one is carried out at once, later, or never.
+func (w *worker) meet(to courier.Address, carry func() courier.Answer) courier.Answer {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if to.Worker != "" && to.Worker != w.name {
+		return w.answer(courier.OtherLife)
+	}
+	if w.fleet.rand.Float64() >= w.lost {
+		return carry()
+	}
+	switch born := w.born; w.fleet.rand.IntN(3) {
+	case 0:
+		carry()
+	case 1:
+		time.AfterFunc(time.Duration(w.fleet.rand.Int64N(int64(latestOrder))), func() {
+			w.fleet.mu.Lock()
+			defer w.fleet.mu.Unlock()
+			if w.born == born {
+				carry()
+			}
+		})
+	default:
+	}
+	return courier.Answer{}
+}
+
+func (w *worker) renewTo(until time.Duration) {
+	at := w.at(until)
+	if latest := time.Now().Add(longestHold); at.After(latest) {
+		at = latest
+	}
+	if at.After(w.until) {
+		w.until = at
+	}
+}
+
+// Start implements courier.Courier.
+func (w *worker) Start(_ context.Context, to courier.Address, o courier.Start) courier.Answer {
+	return w.meet(to, func() courier.Answer {
+		k := o.Run
+		k.Run = 0
+		now := time.Now()
+		switch {
+		case o.Token < w.token:
+			return w.answer(courier.Fenced)
+		case w.runs[k] != nil && w.runs[k].number == o.Run.Run:
+			return w.answer(courier.Done)
+		case o.Until <= w.clock(now):
+			return w.answer(courier.Late)
+		case o.Run.Run <= w.settled[k]:
+			return w.answer(courier.Outdated)
+		}
+		w.token = o.Token
+		w.renewTo(o.Until)
+		f := w.fleet
+		if f.running[k] > 0 {
+			f.violate("task %v runs twice: run %d on %s", k, o.Run.Run, w.name)
+		}
+		if f.done[k] {
+			f.violate("task %v starts after it was done: run %d on %s", k, o.Run.Run, w.name)
+		}
+		if len(w.runs) >= roomOfFleet {
+			f.violate("%s has no room for %v", w.name, o.Run)
+		}
+		w.runs[k] = &fleetRun{number: o.Run.Run, ends: now.Add(taskLength)}
+		f.running[k]++
+		f.started[k.Job] = true
+		return w.answer(courier.Done)
+	})
+}
+
+// Stop implements courier.Courier.
+func (w *worker) Stop(_ context.Context, to courier.Address, o courier.Stop) courier.Answer {
+	return w.meet(to, func() courier.Answer {
+		if o.Token < w.token {
+			return w.answer(courier.Fenced)
+		}
+		w.token = o.Token
+		k := o.Run
+		k.Run = 0
+		w.settled[k] = max(w.settled[k], o.Run.Run)
+		if r := w.runs[k]; r != nil && r.number == o.Run.Run && !r.stopping {
+			r.stopping, r.ends = true, time.Now().Add(stopLength)
+		}
+		return w.answer(courier.Done)
+	})
+}
+
+// Renew implements courier.Courier. It waits for an end as long as the order says.
+func (w *worker) Renew(ctx context.Context, to courier.Address, o courier.Renew) (courier.Report, courier.Answer) {
+	report := courier.Report{}
+	answer := w.meet(to, func() courier.Answer { return w.renew(o) })
+	for wait := time.Now().Add(o.Wait); answer.Verdict == courier.Done && time.Now().Before(wait) && ctx.Err() == nil; {
+		w.fleet.mu.Lock()
+		ends := len(w.ended)
+		w.fleet.mu.Unlock()
+		if ends > 0 {
+			break
+		}
+		time.Sleep(fleetPulse)
+	}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	report.Born = w.born
+	report.Ended = append(report.Ended, w.ended...)
+	for k, r := range w.runs {
+		named := k
+		named.Run = r.number
+		// The percentage rises with each look, as the runs are short.
+		report.Running = append(report.Running, courier.Running{Run: named, Percent: 100})
+	}
+	answer.Clock = w.clock(time.Now())
+	return report, answer
+}
+
+func (w *worker) renew(o courier.Renew) courier.Answer {
+	if o.Token < w.token {
+		return w.answer(courier.Fenced)
+	}
+	w.token = o.Token
+	if o.Until > 0 {
+		w.renewTo(o.Until)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= o.Seen {
+		if e := w.ended[0]; e.Outcome == courier.OutcomeDone {
+			k := e.Run
+			k.Run = 0
+			w.fleet.done[k] = true
+		}
+		w.ended = w.ended[1:]
+	}
+	return w.answer(courier.Done)
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -2,13 +2,17 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"flamingodrift.example/standin/internal/demo"
+	"flamingodrift.example/standin/internal/soaker"
 	"flamingodrift.example/standin/internal/surveyor"
 )
 
@@ -29,7 +33,19 @@
 	Settings map[string]int `arg:"--set" help:"settings of the daemons to override" placeholder:"NAME=VALUE"`
 }
 
+type soakCommand struct {
+	Programs string        `arg:"--programs" default:"build" help:"folder with the built programs" placeholder:"DIR"`
+	Folder   string        `arg:"--folder,required" help:"takes settings, data and logs of each seed" placeholder:"DIR"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"the first seed"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds to run, one after the other"`
+	Length   time.Duration `arg:"--length" default:"20s" help:"how long to inject faults"`
+	Controls int           `arg:"--controls" default:"3" help:"control processes"`
+	Fronts   int           `arg:"--fronts" default:"2" help:"front processes"`
+	Workers  int           `arg:"--workers" default:"5" help:"stand-in workers"`
+}
+
 type arguments struct {
+	Soak   *soakCommand   `arg:"subcommand:soak" help:"run a cell with queues under random faults and check the promises to callers"`
 	Survey *surveyCommand `arg:"subcommand:survey" help:"measure what the daemons use as the number of workers grows"`
 	Demo   *demoCommand   `arg:"subcommand:demo" help:"start a whole cell on loopback, apply an example sheet, print what runs, waits and why"`
 }
@@ -39,6 +55,34 @@
 	return "standin plays the parts of workers, targets and callers, for the demo and for measurements."
 }
 
+// soak runs the seeds one after the other and prints a line for each; the first broken promise of each is named.
+func soak(c *soakCommand) error {
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds); seed++ {
+		folder := filepath.Join(c.Folder, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			return fmt.Errorf("make folder: %w", err)
+		}
+		report, err := soaker.New(soaker.Config{
+			Programs: c.Programs, Folder: folder, Seed: seed, Length: c.Length, Controls: c.Controls, Fronts: c.Fronts,
+			Workers: c.Workers,
+		}).Run(context.Background())
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Printf("seed %d: %d accepted, %d completed, %d refused, %d faults, %d violations\n", seed, report.Accepted,
+			report.Completed, report.Refused, len(report.Faults), len(report.Violations))
+		if len(report.Violations) > 0 {
+			broken++
+			fmt.Println(strings.Join(append(report.Faults, report.Violations...), "\n"))
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", broken, c.Seeds)
+	}
+	return nil
+}
+
 func main() {
 	var args arguments
 	parser := arg.MustParse(&args)
@@ -52,6 +96,8 @@
 			Workers: args.Survey.Workers, TasksPerWorker: args.Survey.Tasks, Callers: args.Survey.Callers,
 			Window: args.Survey.Window, Poll: args.Survey.Poll, Settings: args.Survey.Settings, Out: os.Stdout,
 		})
+	case args.Soak != nil:
+		err = soak(args.Soak)
 	default:
 		parser.WriteUsage(os.Stderr)
 		os.Exit(2)
