Acknowledge a worker's ends only right after the same life has answered

The worker had restarted under its id and counted its ends from 1 again; the leader's next renewal still carried the number of the old life's last end, so the new life forgot ends that nobody had seen.

Change: the number is sent only within 250 ms of an answer that named the life. Test TestStaleAcknowledgement, which fails without the bound. The soak also cancels jobs and has a stand-in of the consent service now.

--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -590,3 +590,26 @@
 		require.Equal(t, 2, d.task().Run())
 	})
 }
+
+// TestStaleAcknowledgement guards the ends of a worker's new life: it counts them from 1, so the acknowledgement of the old
+// life's ends would make it forget some that nobody has seen. Seen in soak seed 43: three tasks ran again after they were
+// done.
+func TestStaleAcknowledgement(t *testing.T) {
+	d := newDesk(t, nil, "w1")
+	d.ready()
+	d.submit(one())
+	d.turn(0)
+	o := d.start()
+	d.Started(o, d.answer(courier.Done), d.now)
+	d.renew(nil, map[string][]courier.Ended{"w1": {{Number: 9, Run: o.Order.Run, Outcome: courier.OutcomeDone}}})
+	d.turn(time.Millisecond)
+	require.Equal(t, uint64(9), d.work.Renews[0].Order.Seen, "the same life has just answered")
+	d.now += time.Second
+	renews := d.work.Renews
+	d.work.Renews = nil
+	// The worker has restarted: the answer comes from another life.
+	d.Renewed(renews[0], courier.Report{Born: 2}, d.answer(courier.Done), d.now)
+	d.turn(renewRetry + tendInterval)
+	require.Len(t, d.work.Renews, 1)
+	require.Zero(t, d.work.Renews[0].Order.Seen)
+}
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -74,6 +74,10 @@
 // token stays below 2^53, which every reader of JSON numbers can hold.
 const livesBits = 30
 
+// freshAnswer is how long after an answer of a life its ends may be acknowledged. A later life under the same id counts its
+// ends from 1 again, and would forget ends that nobody has seen; it cannot have one so soon.
+const freshAnswer = 250 * time.Millisecond
+
 const (
 	renewRetry = 150 * time.Millisecond
 	stopRetry  = 500 * time.Millisecond
@@ -160,7 +164,10 @@
 }
 
 func (f *Foreman) renew(s *session, now time.Duration) {
-	order := courier.Renew{Token: s.token, Seen: s.seen, Wait: f.cfg.Wait}
+	order := courier.Renew{Token: s.token, Wait: f.cfg.Wait}
+	if now-s.answeredAt <= freshAnswer {
+		order.Seen = s.seen
+	}
 	if s.hasClock && !s.failing {
 		// A worker that hears but does not answer must not be renewed: its lease would never end.
 		order.Until = f.leaseEnd(s, now, f.cfg.Lease)
--- a/standin/internal/soaker/fleet.go
+++ b/standin/internal/soaker/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"flamingodrift.example/core/courier"
 	"flamingodrift.example/core/wire"
+	"flamingodrift.example/platform/consenthandler"
 	"flamingodrift.example/platform/workerserver"
 )
 
@@ -22,6 +24,10 @@
 	longestHold = 10 * time.Second
 	fleetPulse  = 10 * time.Millisecond
 	latestOrder = 4 * time.Second
+	// ticketLength is how long a ticket is valid, and cancelLimit how long after its acknowledgement a canceled job may
+	// still start.
+	ticketLength = 2 * time.Second
+	cancelLimit  = 3 * time.Second
 )
 
 // fleet are stand-in workers. It checks, from what workers see, that no task runs twice at a time or again after its end
@@ -36,6 +42,10 @@
 	done       map[courier.Run]bool
 	started    map[string]bool
 	violations []string
+	// canceled are jobs with the times of the acknowledgement of their cancelling.
+	canceled map[string]time.Time
+	tickets  map[string]time.Time
+	consent  *http.Server
 }
 
 // worker is one stand-in worker.
@@ -66,7 +76,7 @@
 func newFleet(seed uint64, subnet string, count int) (*fleet, error) {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 2)), began: time.Now(), running: map[courier.Run]int{}, done: map[courier.Run]bool{},
-		started: map[string]bool{},
+		started: map[string]bool{}, canceled: map[string]time.Time{}, tickets: map[string]time.Time{},
 	}
 	for i := range count {
 		w := &worker{fleet: f, name: fmt.Sprintf("i-%04d", i), address: fmt.Sprintf("%s.%d:%d", subnet, 101+i, workerPort)}
@@ -82,7 +92,37 @@
 	return f, nil
 }
 
+// Ask implements courier.Consenter: a step may run on about two thirds of the workers and on one at least; which ones
+// never changes.
+func (f *fleet) Ask(_ context.Context, job string, step int, workers []string) (courier.Consent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var consent courier.Consent
+	for _, name := range workers {
+		key := fmt.Sprintf("%s.%d.%s", job, step, name)
+		home := f.workers[crc32.ChecksumIEEE([]byte(job))%uint32(len(f.workers))]
+		if name != home.name && crc32.ChecksumIEEE([]byte(key))%3 == 0 {
+			continue
+		}
+		f.tickets[key] = time.Now().Add(ticketLength)
+		consent.Tickets = append(consent.Tickets, courier.Ticket{Worker: name, Ticket: key})
+	}
+	return consent, nil
+}
+
+// serveConsent starts the stand-in of the service that decides which workers may run a step.
+func (f *fleet) serveConsent(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for the consent service: %w", err)
+	}
+	f.consent = &http.Server{Handler: consenthandler.New(f), ReadHeaderTimeout: time.Second}
+	go func() { _ = f.consent.Serve(listener) }()
+	return nil
+}
+
 func (f *fleet) close() {
+	_ = f.consent.Close()
 	for _, w := range f.workers {
 		_ = w.server.Close()
 	}
@@ -166,24 +206,24 @@
 }
 
 // meet loses a share of the orders; a lost one is carried out at once, later, or never.
-func (w *worker) meet(to courier.Address, carry func() courier.Answer) courier.Answer {
+func (w *worker) meet(to courier.Address, carry func(late bool) courier.Answer) courier.Answer {
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
 	if to.Worker != "" && to.Worker != w.name {
 		return w.answer(courier.OtherLife)
 	}
 	if w.fleet.rand.Float64() >= w.lost {
-		return carry()
+		return carry(false)
 	}
 	switch born := w.born; w.fleet.rand.IntN(3) {
 	case 0:
-		carry()
+		carry(false)
 	case 1:
 		time.AfterFunc(time.Duration(w.fleet.rand.Int64N(int64(latestOrder))), func() {
 			w.fleet.mu.Lock()
 			defer w.fleet.mu.Unlock()
 			if w.born == born {
-				carry()
+				carry(true)
 			}
 		})
 	default:
@@ -203,7 +243,7 @@
 
 // Start implements courier.Courier.
 func (w *worker) Start(_ context.Context, to courier.Address, o courier.Start) courier.Answer {
-	return w.meet(to, func() courier.Answer {
+	return w.meet(to, func(late bool) courier.Answer {
 		k := o.Run
 		k.Run = 0
 		now := time.Now()
@@ -217,9 +257,15 @@
 		case o.Run.Run <= w.settled[k]:
 			return w.answer(courier.Outdated)
 		}
+		f := w.fleet
+		if key := fmt.Sprintf("%s.%d.%s", k.Job, k.Step, w.name); o.Ticket != key || now.After(f.tickets[key]) {
+			return w.answer(courier.NoTicket)
+		}
 		w.token = o.Token
 		w.renewTo(o.Until)
-		f := w.fleet
+		if at, ok := f.canceled[k.Job]; ok && now.Sub(at) > cancelLimit && !late {
+			f.violate("task %v starts %v after its job was canceled", k, now.Sub(at))
+		}
 		if f.running[k] > 0 {
 			f.violate("task %v runs twice: run %d on %s", k, o.Run.Run, w.name)
 		}
@@ -238,7 +284,7 @@
 
 // Stop implements courier.Courier.
 func (w *worker) Stop(_ context.Context, to courier.Address, o courier.Stop) courier.Answer {
-	return w.meet(to, func() courier.Answer {
+	return w.meet(to, func(bool) courier.Answer {
 		if o.Token < w.token {
 			return w.answer(courier.Fenced)
 		}
@@ -256,7 +302,7 @@
 // Renew implements courier.Courier. It waits for an end as long as the order says.
 func (w *worker) Renew(ctx context.Context, to courier.Address, o courier.Renew) (courier.Report, courier.Answer) {
 	report := courier.Report{}
-	answer := w.meet(to, func() courier.Answer { return w.renew(o) })
+	answer := w.meet(to, func(bool) courier.Answer { return w.renew(o) })
 	for wait := time.Now().Add(o.Wait); answer.Verdict == courier.Done && time.Now().Before(wait) && ctx.Err() == nil; {
 		w.fleet.mu.Lock()
 		ends := len(w.ended)
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -29,6 +29,8 @@
 	callTimeout = 2 * time.Second
 	stopLimit   = 15 * time.Second
 	mostTries   = 40
+	// cancelShare is the inverse of the share of jobs that are canceled.
+	cancelShare = 20
 )
 
 // Config describes a soak.
@@ -134,6 +136,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.fleet.serveConsent(s.consentAddress()); err != nil {
+		return err
+	}
 	var seeds []string
 	for i := range min(3, s.cfg.Controls) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.ip(i), queuePort))
@@ -150,7 +155,7 @@
 			settings: map[string]any{
 				"name": fmt.Sprintf("front-%d", i), "address": fmt.Sprintf("%s:%d", ip, relayPort),
 				"caller_address": s.front(i), "ready_address": ip + ":7202", "metrics_address": ip + ":7203", "seeds": seeds,
-				"cell_token": "token-of-the-soak", "notice_ms": 300,
+				"cell_token": "token-of-the-soak", "notice_ms": 300, "consent_address": s.consentAddress(),
 			},
 		})
 	}
@@ -175,7 +180,10 @@
 			"advertise_address": fmt.Sprintf("%s:%d", ip, relayPort), "health_address": ip + ":7102",
 			"seeds": seeds, "first_start": true, "cell_token": "token-of-the-soak", "heartbeat_ms": 100,
 			"election_min_ms": 600, "election_max_ms": 1000, "voters": s.cfg.Controls, "memory_limit_mb": 64,
-			"queues": map[string]any{"address": s.control(i), "longest_lease_ms": longestHold.Milliseconds(), "lost_disks": (s.cfg.Controls - 1) / 2},
+			"queues": map[string]any{
+				"address": s.control(i), "consent_address": s.consentAddress(), "longest_lease_ms": longestHold.Milliseconds(),
+				"lost_disks": (s.cfg.Controls - 1) / 2,
+			},
 		},
 	}
 	p.settings["data_folder"] = p.dataFolder()
@@ -188,6 +196,8 @@
 	return nil
 }
 
+func (s *Soaker) consentAddress() string { return s.subnet + ".90:8001" }
+
 func (s *Soaker) ip(i int) string { return fmt.Sprintf("%s.%d", s.subnet, 11+i) }
 
 func (s *Soaker) control(i int) string { return fmt.Sprintf("%s:%d", s.ip(i), queuePort) }
@@ -281,6 +291,9 @@
 				s.mu.Lock()
 				s.accepted[id] = true
 				s.mu.Unlock()
+				if rand.IntN(cancelShare) == 0 {
+					s.cancel(id)
+				}
 				return
 			case 503, 429:
 				if onlyRefused && ctx.Err() != nil {
@@ -297,6 +310,22 @@
 	}()
 }
 
+// cancel cancels an accepted job at any front until that is acknowledged.
+func (s *Soaker) cancel(id string) {
+	for range mostTries {
+		call, cancel := context.WithTimeout(context.Background(), callTimeout)
+		status := s.client.Cancel(call, s.front(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id)
+		cancel()
+		if status == 200 {
+			s.fleet.mu.Lock()
+			s.fleet.canceled[id] = time.Now()
+			s.fleet.mu.Unlock()
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // configure sends the next version to some control process and reports whether it was acknowledged.
 func (s *Soaker) configure(ctx context.Context) bool {
 	s.mu.Lock()
@@ -307,6 +336,7 @@
 	defer cancel()
 	status := s.client.Configure(call, s.control(rand.IntN(s.cfg.Controls)), version, &wire.Queue{
 		Name: "soak", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", Attempts: 3, Stretch: 2, AllowanceMs: 60_000, TimeoutMs: 3000,
+		Consent: &wire.ConsentPolicy{CallMs: 1, WorkerMs: 0.1, ValidMs: uint32(ticketLength.Milliseconds())},
 	})
 	if status != 200 {
 		return false
@@ -340,6 +370,13 @@
 	}
 }
 
+func (s *Soaker) wasCanceled(id string) bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	_, ok := s.fleet.canceled[id]
+	return ok
+}
+
 // settle waits for all accepted jobs and checks what is told in the end.
 func (s *Soaker) settle(ctx context.Context) {
 	s.mu.Lock()
@@ -354,7 +391,7 @@
 			state, status := s.client.State(call, s.front(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id)
 			cancel()
 			switch {
-			case state == "completed":
+			case state == "completed", state == "canceled" && s.wasCanceled(id):
 				delete(open, id)
 				s.report.Completed++
 			case status == 410:
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -21,6 +21,8 @@
 var seeds = []uint64{
 	// A start for a worker that restarted under its id reached the new life, while the task was placed anew.
 	1,
+	// The acknowledgement of a worker's old life made the new one forget ends that nobody had seen.
+	43,
 }
 
 // TestSoak guards the promises to callers while the real programs are killed, stopped, frozen, cut off and robbed of their
