--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -13,11 +13,10 @@
 
 // Batch is owned by the thread that applies the log; nothing in it may be used by another.
 type Batch struct {
-	config  *wire.QueueConfig
-	queues  map[string]*wire.Queue
-	guarded map[string]bool
-	lives   map[string]*Life
-	jobs    map[string]*Job
+	config *wire.QueueConfig
+	queues map[string]*wire.Queue
+	lives  map[string]*Life
+	jobs   map[string]*Job
 	// active holds the jobs that have not ended or still have a run on a worker, in the order of their acceptance.
 	active   []*Job
 	accepted uint64
@@ -28,7 +27,7 @@
 // New returns an empty Batch.
 func New() *Batch {
 	return &Batch{
-		queues: map[string]*wire.Queue{}, guarded: map[string]bool{}, lives: map[string]*Life{}, jobs: map[string]*Job{},
+		queues: map[string]*wire.Queue{}, lives: map[string]*Life{}, jobs: map[string]*Job{},
 	}
 }
 
@@ -100,9 +99,6 @@
 // Lives returns the present lives by worker. The map must not be changed.
 func (b *Batch) Lives() map[string]*Life { return b.lives }
 
-// Guarded reports whether the workers of a pool refuse what does not fit.
-func (b *Batch) Guarded(pool string) bool { return b.guarded[pool] }
-
 // Pending returns the number of accepted jobs of a queue of which no task has started.
 func (b *Batch) Pending(queue string) int {
 	count := 0
@@ -132,10 +128,6 @@
 	for _, j := range b.active {
 		j.queue = b.queues[j.spec.GetQueue()]
 	}
-	b.guarded = map[string]bool{}
-	for _, pool := range config.GetPools() {
-		b.guarded[pool.GetName()] = pool.GetGuardsCapacity()
-	}
 }
 
 func (b *Batch) submit(spec *wire.SubmittedJob, effect *Effect) *wire.Result {
--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -12,8 +12,8 @@
 
 func testConfig(version uint64, attempts uint32) *wire.QueueConfig {
 	return &wire.QueueConfig{Version: version, Document: []byte("{}"), Queues: []*wire.Queue{
-		{Name: "short", Host: "h.example", PathPrefix: "/a/", Pool: "p", Attempts: attempts},
-		{Name: "long", Host: "h.example", PathPrefix: "/a/b/", Pool: "p", Attempts: attempts},
+		{Name: "short", Host: "h.example", Prefix: "/a/", Pool: "p", Attempts: attempts},
+		{Name: "long", Host: "h.example", Prefix: "/a/b/", Pool: "p", Attempts: attempts},
 	}}
 }
 
--- a/controld/internal/batch/route.go
+++ b/controld/internal/batch/route.go
@@ -18,17 +18,17 @@
 // Route returns the queue of the configuration in force with the longest prefix of a path, and the rest of the path.
 func (b *Batch) Route(host, path string) (queue *wire.Queue, rest string, ok bool) {
 	for _, q := range b.config.GetQueues() {
-		if !strings.EqualFold(q.GetHost(), host) || !strings.HasPrefix(path, q.GetPathPrefix()) {
+		if !strings.EqualFold(q.GetHost(), host) || !strings.HasPrefix(path, q.GetPrefix()) {
 			continue
 		}
-		if queue == nil || len(q.GetPathPrefix()) > len(queue.GetPathPrefix()) {
+		if queue == nil || len(q.GetPrefix()) > len(queue.GetPrefix()) {
 			queue = q
 		}
 	}
 	if queue == nil {
 		return nil, "", false
 	}
-	return queue, path[len(queue.GetPathPrefix()):], true
+	return queue, path[len(queue.GetPrefix()):], true
 }
 
 // CheckJob returns what is wrong with a submitted job; empty when nothing is.
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -224,7 +224,7 @@
 func configureCall(version uint64) *wire.QueueCall {
 	return &wire.QueueCall{Body: &wire.QueueCall_Configure{Configure: &wire.QueueConfig{
 		Version: version, Document: []byte(fmt.Sprint(version)), Queues: []*wire.Queue{{
-			Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 60_000,
+			Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 60_000,
 		}},
 	}}}
 }
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	b := batch.New()
 	b.Apply(&wire.QueueCommand{Configure: &wire.QueueConfig{Version: 1, Queues: []*wire.Queue{{
-		Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000, Consent: consent,
+		Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000, Consent: consent,
 	}}}})
 	for _, w := range workers {
 		b.Apply(&wire.QueueCommand{Workers: []*wire.WorkerLife{life(w, 1)}})
@@ -458,8 +458,8 @@
 func TestBacklogRounds(t *testing.T) {
 	d := newDesk(t, nil, "w1")
 	d.commit(&wire.QueueCommand{Configure: &wire.QueueConfig{Version: 2, Queues: []*wire.Queue{
-		{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000},
-		{Name: "later", Host: "h", PathPrefix: "/l/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000, Priority: 2},
+		{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000},
+		{Name: "later", Host: "h", Prefix: "/l/", Pool: "p", Attempts: 2, Stretch: 2, AllowanceMs: 1000, Priority: 2},
 	}}})
 	d.ready()
 	for i := range 600 {
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -128,8 +128,8 @@
 	}
 	s := f.session(life, now)
 	s.heardAt = now
-	if report.GetDraining() && report.GetDrainRemainingMs() > 0 {
-		s.drainEnd = now + time.Duration(report.GetDrainRemainingMs())*time.Millisecond
+	if report.GetDraining() && report.GetDrainLeftMs() > 0 {
+		s.drainEnd = now + time.Duration(report.GetDrainLeftMs())*time.Millisecond
 	}
 	if report.GetAddress() != life.Report().GetAddress() || report.GetDraining() && !life.Draining() ||
 		report.GetCpuMillis() != life.Report().GetCpuMillis() || report.GetMemoryMb() != life.Report().GetMemoryMb() {
--- a/controld/main.go
+++ b/controld/main.go
@@ -32,6 +32,7 @@
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/starter"
 	"flamingodrift.example/core/wire"
 )
 
@@ -58,14 +59,7 @@
 	var args arguments
 	arg.MustParse(&args)
 	cfg := &settings.Settings{}
-	if err := loader.Load(args.Settings, cfg); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if args.Check {
-		fmt.Println("settings are valid")
-		return
-	}
+	starter.Load(args.Settings, args.Check, cfg)
 	if args.Bootstrap {
 		if err := store.Bootstrap(cfg.DataFolder, member(cfg)); err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -17,8 +16,10 @@
 	"flamingodrift.example/entryd/internal/settings"
 
 	"flamingodrift.example/core/kratoslogger"
+	"flamingodrift.example/core/linewriter"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/starter"
 )
 
 type arguments struct {
@@ -35,18 +36,16 @@
 	var args arguments
 	arg.MustParse(&args)
 	cfg := &settings.Settings{}
-	if err := loader.Load(args.Settings, cfg); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if args.Check {
-		fmt.Println("settings are valid")
-		return
-	}
-	log := logger.New(os.Stderr, "entryd", cfg.Name)
+	starter.Load(args.Settings, args.Check, cfg)
+	out := linewriter.New(os.Stdout)
+	log := logger.New(out, "entryd", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
-	if err := run(cfg, log); err != nil {
+	err := run(cfg, log)
+	if err != nil {
 		logger.Fatal.Log(log, "error", err.Error())
+	}
+	out.Close()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/frontd/main.go
+++ b/frontd/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -20,6 +19,7 @@
 	"flamingodrift.example/core/linewriter"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/starter"
 	"flamingodrift.example/frontd/internal/settings"
 )
 
@@ -40,14 +40,7 @@
 	var args arguments
 	arg.MustParse(&args)
 	cfg := &settings.Settings{}
-	if err := loader.Load(args.Settings, cfg); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	if args.Check {
-		fmt.Println("settings are valid")
-		return
-	}
+	starter.Load(args.Settings, args.Check, cfg)
 	out := linewriter.New(os.Stdout)
 	log := logger.New(out, "frontd", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -335,7 +335,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	status := s.client.Configure(call, s.control(rand.IntN(s.cfg.Controls)), version, &wire.Queue{
-		Name: "soak", Host: queueHost, PathPrefix: queuePrefix, Pool: "pool", Attempts: 3, Stretch: 2, AllowanceMs: 60_000, TimeoutMs: 3000,
+		Name: "soak", Host: queueHost, Prefix: queuePrefix, Pool: "pool", Attempts: 3, Stretch: 2, AllowanceMs: 60_000, TimeoutMs: 3000,
 		Consent: &wire.ConsentPolicy{CallMs: 1, WorkerMs: 0.1, ValidMs: uint32(ticketLength.Milliseconds())},
 	})
 	if status != 200 {
