Read the change again: one look-up of a life's session, one way to hand over an end, no leak

What a leader knew of consent for the steps of ended jobs was never dropped, so its memory grew with every job.

Decisions and bounds stay as they are.

--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -130,9 +130,8 @@
 }
 
 func (c *Controller) consent(ctx context.Context, a foreman.Ask) (courier.Consent, error) {
-	remaining := a.Timeout
 	request := &wire.Request{Body: &wire.Request_Consent{Consent: &wire.ConsentCall{
-		Job: a.Step.Job().ID(), Step: uint32(a.Step.Number()), Workers: a.Workers, TimeoutMs: uint32(remaining.Milliseconds()),
+		Job: a.Step.Job().ID(), Step: uint32(a.Step.Number()), Workers: a.Workers, TimeoutMs: uint32(a.Timeout.Milliseconds()),
 	}}}
 	reply, err := c.cfg.Messenger.Call(ctx, a.Address, request)
 	if err != nil {
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -32,15 +32,7 @@
 		return false
 	}
 	need := step.Spec().GetLabel()
-	if need == "" {
-		return true
-	}
-	for _, label := range life.Report().GetLabels() {
-		if label == need {
-			return true
-		}
-	}
-	return false
+	return need == "" || slices.Contains(life.Report().GetLabels(), need)
 }
 
 // restPerStep is the time to the next round for each step that the last one looked at.
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -194,7 +194,7 @@
 			workers = append(workers, t.Life().Worker())
 		}
 		logger.RunPlaced.Log(f.cfg.Logger, "job", step.Job().ID(), "step", step.Number(), "run", placed[0].Run(),
-			"first_index", placed[0].Index(), "workers", workers, "token", f.token)
+			"first_index", placed[0].Index(), "workers", workers, "term", f.token)
 		if p, ok := f.prospects[step.Job()]; ok && !p.started {
 			p.started = true
 			f.prospects[step.Job()] = p
@@ -293,5 +293,10 @@
 				delete(f.prospects, j)
 			}
 		}
+		for step := range f.consents {
+			if j := step.Job(); j.Ended() && j.Held() == 0 {
+				delete(f.consents, step)
+			}
+		}
 	}
 }
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -613,3 +613,17 @@
 	require.Len(t, d.work.Renews, 1)
 	require.Zero(t, d.work.Renews[0].Order.Seen)
 }
+
+// TestEndedJobsAreDropped guards a leader's memory: what it knows of the steps of ended jobs must not grow for ever.
+func TestEndedJobsAreDropped(t *testing.T) {
+	d := newDesk(t, &wire.ConsentPolicy{CallMs: 10, WorkerMs: 1, ValidMs: 2000}, "w1")
+	for i := range 2 * forgetBatch {
+		id := fmt.Sprintf("%016x", i)
+		d.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{Id: id, Queue: "q", Steps: []*wire.JobStep{one()}}})
+		d.consent(d.batch.Job(id).Steps()[0])
+		d.commit(&wire.QueueCommand{Cancel: id})
+	}
+	d.turn(0)
+	require.Empty(t, d.consents)
+	require.Empty(t, d.prospects)
+}
--- a/controld/internal/foreman/order.go
+++ b/controld/internal/foreman/order.go
@@ -34,8 +34,8 @@
 
 // Started takes in a worker's answer to a start.
 func (f *Foreman) Started(o StartOrder, answer courier.Answer, now time.Duration) {
-	s := f.sessions[o.Life.Worker()]
-	if s == nil || s.life != o.Life {
+	s := f.present(o.Life)
+	if s == nil {
 		return
 	}
 	r := s.runs[o.Task]
@@ -99,8 +99,8 @@
 
 // Stopped takes in a worker's answer to a stop. The run's end follows in the worker's list, if the run was there.
 func (f *Foreman) Stopped(o StopOrder, answer courier.Answer, now time.Duration) {
-	s := f.sessions[o.Life.Worker()]
-	if s == nil || s.life != o.Life || o.Task == nil {
+	s := f.present(o.Life)
+	if s == nil || o.Task == nil {
 		return
 	}
 	if r := s.runs[o.Task]; r != nil && r.number == o.Order.Run.Run && answer.Verdict == courier.Done && !r.stopped {
@@ -164,8 +164,8 @@
 	if t.Life() == nil {
 		return
 	}
-	s := f.sessions[t.Life().Worker()]
-	if s == nil || s.life != t.Life() {
+	s := f.present(t.Life())
+	if s == nil {
 		return
 	}
 	if r := s.runs[t]; r != nil {
--- a/controld/internal/foreman/report.go
+++ b/controld/internal/foreman/report.go
@@ -17,8 +17,8 @@
 
 // Renewed takes in a worker's answer to a renewal.
 func (f *Foreman) Renewed(o RenewOrder, report courier.Report, answer courier.Answer, now time.Duration) {
-	s := f.sessions[o.Life.Worker()]
-	if s == nil || s.life != o.Life {
+	s := f.present(o.Life)
+	if s == nil {
 		return
 	}
 	s.renewing = false
@@ -82,11 +82,7 @@
 		t.LastWorker() != s.life.Worker() {
 		return
 	}
-	f.changed = true
-	f.ends = append(f.ends, &wire.RunEnd{
-		Job: e.Run.Job, Step: uint32(e.Run.Step), Index: uint32(e.Run.Index), Run: uint32(e.Run.Run),
-		Outcome: wire.RunOutcome_RUN_OUTCOME_DONE, Checkpoint: e.Checkpoint,
-	})
+	f.handOver(e.Run, wire.RunOutcome_RUN_OUTCOME_DONE, e.Checkpoint)
 }
 
 // find returns the task of a run that a life holds.
@@ -196,9 +192,6 @@
 // runEnded drops a run that the log has released.
 func (f *Foreman) runEnded(end batch.EndedRun, now time.Duration) {
 	if s := f.sessions[end.Worker]; s != nil {
-		if r := s.runs[end.Task]; r != nil && !r.ending {
-			r.ending = true
-		}
 		delete(s.runs, end.Task)
 	}
 	if end.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -85,13 +85,20 @@
 	silentRemoval = 8 * time.Second
 )
 
+// present returns the session of a life; nil when there is none or the worker has another life by now.
+func (f *Foreman) present(life *batch.Life) *session {
+	if s := f.sessions[life.Worker()]; s != nil && s.life == life {
+		return s
+	}
+	return nil
+}
+
 func (f *Foreman) session(life *batch.Life, now time.Duration) *session {
-	s := f.sessions[life.Worker()]
-	if s != nil && s.life == life {
+	if s := f.present(life); s != nil {
 		return s
 	}
 	f.lives++
-	s = &session{
+	s := &session{
 		life: life, token: f.token<<livesBits + f.lives, since: now, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{},
 	}
 	for t := range life.Tasks() {
@@ -198,8 +205,8 @@
 	if life == nil {
 		return true
 	}
-	s := f.sessions[life.Worker()]
-	if s == nil || s.life != life {
+	s := f.present(life)
+	if s == nil {
 		return false
 	}
 	if !s.known {
@@ -235,14 +242,19 @@
 // end hands the end of a run to the log.
 func (f *Foreman) end(s *session, t *batch.Task, r *run, outcome wire.RunOutcome, checkpoint, why string, now time.Duration) {
 	r.ending = true
-	f.changed = true
 	f.cfg.Meter.RunEnded(why)
-	f.ends = append(f.ends, &wire.RunEnd{
-		Job: t.Step().Job().ID(), Step: uint32(t.Step().Number()), Index: uint32(t.Index()), Run: uint32(r.number),
-		Outcome: outcome, Checkpoint: checkpoint,
-	})
+	f.handOver(nameOf(t, r.number), outcome, checkpoint)
 	if outcome != wire.RunOutcome_RUN_OUTCOME_DONE {
 		logger.RunCutShort.Log(f.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
 			"run", r.number, "worker", s.life.Worker(), "why", why, "ran_ms", (now - r.startedAt).Milliseconds())
 	}
 }
+
+// handOver adds the end of a run to the next command for the log.
+func (f *Foreman) handOver(run courier.Run, outcome wire.RunOutcome, checkpoint string) {
+	f.changed = true
+	f.ends = append(f.ends, &wire.RunEnd{
+		Job: run.Job, Step: uint32(run.Step), Index: uint32(run.Index), Run: uint32(run.Run),
+		Outcome: outcome, Checkpoint: checkpoint,
+	})
+}
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -87,7 +87,6 @@
 	http    *khttp.Server
 	consent *consentserver.Server
 	leader  *locator.Locator
-	ctx     context.Context
 }
 
 // newQueueServer returns nil where no jobs are submitted to queues.
@@ -101,7 +100,7 @@
 	server.IdleTimeout = controlIdleTime
 	server.HandlePrefix("/", controlhandler.New(queuecaller.New(leader)))
 	return &queueServer{
-		http: server, leader: leader, ctx: context.Background(),
+		http: server, leader: leader,
 		consent: consentserver.New(consentserver.Config{
 			Name: cfg.Name, Address: cfg.AdvertiseAddress, Consenter: consentclient.New(cfg.Queues.ConsentAddress),
 			Leader: leader, Logger: log,
@@ -116,7 +115,7 @@
 	return q.consent
 }
 
-func (q *queueServer) run() { q.consent.Run(q.ctx) }
+func (q *queueServer) run() { q.consent.Run(context.Background()) }
 
 // reloadOnSignal reads the settings again on SIGHUP. Only the seeds can change while the process runs.
 func reloadOnSignal(file string, cfg *settings.Settings, d *daemon, log *slog.Logger) {
