Ask for votes again until an election is decided

Cause: after a loss of power all nodes start within 0.3 s, and none votes before its promise to the leader of before is over. A candidate asked once; voters that started a little later kept silent, and it waited for another whole timeout. Two candidates that shared the votes left out a voter that became free just after.

Ruled out: shorter timeouts: a leader's lease hangs on them, and a slow disk holds up heartbeats for up to 0.27 s.

Change: a candidate repeats its request each heartbeat. Votes are stored, so that a repetition changes nothing.

--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -12,12 +12,23 @@
 		r.tickLeader(now)
 		return
 	}
-	if now < r.electionDeadline {
+	if now >= r.electionDeadline {
+		r.resetElection(now)
+		if r.isVoter(r.cfg.ID) {
+			r.startPreVote(now)
+		}
 		return
 	}
-	r.resetElection(now)
-	if r.isVoter(r.cfg.ID) {
-		r.startPreVote(now)
+	if now < r.askedVotesAt+r.cfg.Heartbeat {
+		return
+	}
+	// A voter that started a little later, or heard from the leader last, becomes free to answer meanwhile.
+	switch r.role {
+	case preCandidate:
+		r.requestVotes(&wire.VoteRequest{PreVote: true}, r.term+1, now)
+	case candidate:
+		r.requestVotes(&wire.VoteRequest{}, r.term, now)
+	default:
 	}
 }
 
@@ -44,7 +55,7 @@
 	r.role = preCandidate
 	r.leader = ""
 	r.votes = map[string]bool{r.cfg.ID: true}
-	r.requestVotes(&wire.VoteRequest{PreVote: true}, r.term+1)
+	r.requestVotes(&wire.VoteRequest{PreVote: true}, r.term+1, now)
 	r.countVotes(now)
 }
 
@@ -55,11 +66,12 @@
 	r.hardStateDirt = true
 	r.votes = map[string]bool{r.cfg.ID: true}
 	r.resetElection(now)
-	r.requestVotes(&wire.VoteRequest{Handover: handover}, r.term)
+	r.requestVotes(&wire.VoteRequest{Handover: handover}, r.term, now)
 	r.countVotes(now)
 }
 
-func (r *Replicator) requestVotes(request *wire.VoteRequest, term uint64) {
+func (r *Replicator) requestVotes(request *wire.VoteRequest, term uint64, now time.Duration) {
+	r.askedVotesAt = now
 	request.LastIndex, request.LastTerm = r.log.lastIndex(), r.log.lastTerm()
 	for _, m := range r.Membership().GetMembers() {
 		if !m.GetVoter() || m.GetId() == r.cfg.ID {
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -138,6 +138,8 @@
 	votes       map[string]bool
 
 	electionDeadline time.Duration
+	// askedVotesAt is when this node last asked for votes.
+	askedVotesAt time.Duration
 	lastHeard        time.Duration
 	heardLeader      bool
 	lastHeartbeat    time.Duration
