--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"flamingodrift.example/controld/internal/resource"
 )
@@ -14,23 +15,25 @@
 	Room resource.Vector
 	// Free is the room that no run holds.
 	Free resource.Vector
-	// Stopping is the room of runs that are being stopped and will be free soon.
-	Stopping resource.Vector
-	Rack     string
+	Rack string
 	// Speed is how fast the worker has been, compared to others; 1 is the usual.
 	Speed float64
-	// Reclaimable are the runs that keep their work when they are stopped.
-	Reclaimable []Reclaimable
+	// Urgent is the processors that runs of the most urgent kind hold.
+	Urgent int64
 	// Unproven is set for a worker that failed its last runs; it gets one task at a time.
 	Unproven bool
 }
 
-// Reclaimable is a run that may be stopped for more urgent work.
-type Reclaimable struct {
-	// Run is the caller's handle of the run.
-	Run      int
+// Run is a run that holds room on a worker.
+type Run struct {
+	// Handle is the caller's name of the run.
+	Handle   int
 	Priority int
 	Need     resource.Vector
+	// Rest is how long the run is expected to hold its room.
+	Rest time.Duration
+	// Reclaimable is set for a run that keeps its work when it is stopped for more urgent work.
+	Reclaimable bool
 }
 
 // Demand is a step with waiting tasks.
@@ -49,6 +52,11 @@
 	Lateness Lateness
 	// Urgency orders demands of one priority: the time in milliseconds by which they must have started.
 	Urgency int64
+	// Held is the room that a gang holds since an earlier round. It stays closed to others: newcomers would take the room of
+	// wide gangs again and again.
+	Held []Share
+	// Length is how long a task is expected to run; 0 is not known.
+	Length time.Duration
 }
 
 // Lateness says whether a demand can still meet its objective. Work that can comes first: after an outage or a burst,
@@ -82,6 +90,13 @@
 	Holding int
 }
 
+// Share is how many members of a gang are to run on a worker.
+type Share struct {
+	// Worker is the index of the worker.
+	Worker int
+	Count  int
+}
+
 // Placement gives a task to a worker.
 type Placement struct {
 	// Demand and Worker are indexes of the input; Task is the index of the task in its step.
@@ -95,8 +110,20 @@
 	Preempt []int
 	// NeedConsent are the demands that would fit if their consent were renewed.
 	NeedConsent []int
-	// Blocked are the demands that found no room, by index.
+	// Blocked are the demands without a gang that found no room, by index.
 	Blocked []int
+	// Waiting are the gangs that have to wait.
+	Waiting []Waiting
+}
+
+// Waiting is a gang that has to wait.
+type Waiting struct {
+	Demand int
+	// Possible is set when its candidates could hold it, In the time until they should.
+	Possible bool
+	In       time.Duration
+	// Shares are where it is going to run.
+	Shares []Share
 }
 
 // Config holds the weights of the policy.
@@ -104,9 +131,10 @@
 	// Headroom is the share of each worker's processors that work of the lowest priorities leaves free, so that the most
 	// urgent kind starts at once. It answers the bursts of short jobs.
 	Headroom float64
-	// ReservingGangs bounds how many waiting gangs keep workers from less urgent work. One gang at a time would leave the
-	// others starving behind small tasks; all of them would keep most of the workers idle.
-	ReservingGangs int
+	// StopTime is how long it takes until the room of a run that is stopped is free.
+	StopTime time.Duration
+	// PlannedGangs bounds how many waiting gangs hold room in one round, and so how long a round takes.
+	PlannedGangs int
 }
 
 // Allocator runs rounds with fixed weights.
@@ -117,31 +145,47 @@
 // New returns an Allocator.
 func New(cfg Config) *Allocator { return &Allocator{cfg: cfg} }
 
+// hold is room on a worker that a waiting gang is going to use.
+type hold struct {
+	demand   int
+	room     resource.Vector
+	priority int
+	// in is the time until the gang is expected to start.
+	in time.Duration
+}
+
 // round is the state of one round.
 type round struct {
 	cfg     Config
 	workers []Worker
 	demands []Demand
-	free    []resource.Vector
-	// reserved is the lowest priority number that may still use a worker which waits for a gang; noReserve is any.
-	reserved  []int
-	preempted []bool
-	reserving int
-	probing   []bool
-	plan      Plan
-}
-
-const noReserve = 1 << 30
-
-// Decide returns what to place, and what to stop for it.
-func (a *Allocator) Decide(workers []Worker, demands []Demand) Plan {
-	r := &round{cfg: a.cfg, workers: workers, demands: demands}
-	r.free = make([]resource.Vector, len(workers))
-	r.reserved = make([]int, len(workers))
-	r.preempted = make([]bool, len(workers))
-	r.probing = make([]bool, len(workers))
+	runsOf  func(worker int) []Run
+	// runs are those of the workers that were asked for.
+	runs  [][]Run
+	free  []resource.Vector
+	holds [][]hold
+	// urgent is the processors that this round gave to the most urgent kind.
+	urgent []int64
+	// stopped are the runs that this round stops, by handle.
+	stopped map[int]bool
+	planned int
+	probing []bool
+	plan    Plan
+}
+
+// Decide returns what to place, and what to stop for it. It asks for the runs of a worker, by its index, when a gang that
+// has to wait may run there.
+func (a *Allocator) Decide(workers []Worker, demands []Demand, runs func(worker int) []Run) Plan {
+	r := &round{
+		cfg: a.cfg, workers: workers, demands: demands, runsOf: runs, runs: make([][]Run, len(workers)), free: make([]resource.Vector, len(workers)),
+		holds: make([][]hold, len(workers)), stopped: map[int]bool{}, probing: make([]bool, len(workers)),
+		urgent: make([]int64, len(workers)),
+	}
 	for i := range workers {
-		r.free[i], r.reserved[i] = workers[i].Free, noReserve
+		r.free[i] = workers[i].Free
+	}
+	for d := range demands {
+		r.hold(d, demands[d].Held, 0)
 	}
 	for _, d := range order(demands) {
 		if demands[d].Gang && len(demands[d].Tasks) > 1 {
@@ -161,26 +205,39 @@
 	}
 	slices.SortStableFunc(indexes, func(a, b int) int {
 		x, y := &demands[a], &demands[b]
-		return cmp.Or(cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Urgency, y.Urgency))
+		return cmp.Or(
+			cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.Urgency, y.Urgency),
+		)
 	})
 	return indexes
 }
 
-// usable returns the room of a worker that a demand may use.
+// usable returns the room of a worker that a demand may use now. Held room is open to more urgent work, and to tasks that
+// are over before the gang starts.
 func (r *round) usable(d *Demand, worker int) resource.Vector {
-	if d.Priority > r.reserved[worker] || d.Lateness > InTime && r.reserved[worker] != noReserve {
-		return resource.Vector{}
-	}
 	free := r.free[worker]
+	for _, h := range r.holds[worker] {
+		if d.Priority >= h.priority && (d.Gang || d.Length == 0 || d.Length > h.in) {
+			free = free.Sub(h.room)
+		}
+	}
 	if d.Priority > 0 && !d.Gang {
-		headroom := int64(r.cfg.Headroom * float64(r.workers[worker].Room.CPU()))
-		free = free.Sub(resource.NewCPU(headroom))
+		free = free.Sub(resource.NewCPU(r.headroom(worker)))
 	}
 	return free
 }
 
+// headroom returns the processors that less urgent work leaves to the most urgent kind beside what that kind uses.
+func (r *round) headroom(worker int) int64 {
+	w := &r.workers[worker]
+	return max(0, int64(r.cfg.Headroom*float64(w.Room.CPU()))-w.Urgent-r.urgent[worker])
+}
+
 func (r *round) place(d, task, worker int) {
 	r.free[worker] = r.free[worker].Sub(r.demands[d].Need)
+	if r.demands[d].Priority == 0 {
+		r.urgent[worker] += r.demands[d].Need.CPU()
+	}
 	r.probing[worker] = true
 	r.plan.Placements = append(r.plan.Placements, Placement{Demand: d, Task: task, Worker: worker})
 }
--- a/controld/internal/allocator/allocator_test.go
+++ b/controld/internal/allocator/allocator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -22,6 +23,17 @@
 	return list
 }
 
+// runs makes the function that returns the runs of each worker; workers that are not listed are held by one run of their
+// room that goes on for a second.
+func runs(list []Worker, known map[int][]Run) func(int) []Run {
+	return func(worker int) []Run {
+		if given, ok := known[worker]; ok {
+			return given
+		}
+		return []Run{{Handle: 1000 + worker, Need: list[worker].Room.Sub(list[worker].Free), Rest: time.Second}}
+	}
+}
+
 func tasks(count int) []Task {
 	list := make([]Task, 0, count)
 	for i := range count {
@@ -60,14 +72,18 @@
 
 // TestDecide replays the loads that the policy answers.
 func TestDecide(t *testing.T) {
-	policy := Config{Headroom: 0.125, ReservingGangs: 1}
+	policy := Config{Headroom: 0.125, StopTime: 400 * time.Millisecond, PlannedGangs: 1}
 	full := workers(2, 2)
+	reclaimable := map[int][]Run{}
+	stopping := map[int][]Run{}
 	for i := range full {
-		full[i].Reclaimable = []Reclaimable{{Run: i, Priority: 2, Need: cores(10)}}
+		reclaimable[i] = []Run{{Handle: i, Priority: 2, Need: cores(10), Rest: 3 * time.Second, Reclaimable: true}}
+		stopping[i] = []Run{{Handle: i, Priority: 2, Need: cores(10), Rest: policy.StopTime}}
 	}
-	stopping := workers(2, 2)
-	for i := range stopping {
-		stopping[i].Stopping = cores(10)
+	waitingGang := func(held ...Share) Demand {
+		d := gang(4, 9, on(2))
+		d.Held = held
+		return d
 	}
 	racks := workers(9, 9, 9)
 	racks[0].Rack, racks[1].Rack, racks[2].Rack = "a", "b", "b"
@@ -77,6 +93,7 @@
 		name    string
 		config  Config
 		workers []Worker
+		runs    map[int][]Run
 		demands []Demand
 		check   func(*testing.T, Plan)
 	}{
@@ -85,7 +102,7 @@
 			demands: []Demand{gang(3, 9, on(2))},
 			check: func(t *testing.T, plan Plan) {
 				require.Empty(t, plan.Placements)
-				require.Equal(t, []int{0}, plan.Blocked)
+				require.Len(t, plan.Waiting, 1)
 			},
 		},
 		{
@@ -103,22 +120,80 @@
 			},
 		},
 		{
-			name: "a gang stops only what keeps its work, and no more than it needs", config: policy, workers: full,
+			name: "a task that is over before the gang starts uses its room", config: policy, workers: workers(18, 8),
+			demands: []Demand{
+				func() Demand { d := small(2, 2, on(2)); d.Length = 900 * time.Millisecond; return d }(),
+				func() Demand { d := small(2, 2, on(2)); d.Length = 1100 * time.Millisecond; return d }(),
+				gang(4, 9, on(2)),
+			},
+			check: func(t *testing.T, plan Plan) {
+				require.Len(t, placedOf(plan, 0), 2)
+				require.Empty(t, placedOf(plan, 1))
+			},
+		},
+		{
+			name: "a newcomer does not take the room that another gang has gathered", config: policy, workers: workers(27, 8),
+			demands: []Demand{
+				waitingGang(Share{0, 3}, Share{1, 1}),
+				func() Demand { d := gang(2, 9, on(2)); d.Urgency = -1; return d }(),
+			},
+			check: func(t *testing.T, plan Plan) { require.Empty(t, plan.Placements) },
+		},
+		{
+			name: "a gang uses the room that it has gathered", config: policy, workers: workers(27, 9),
+			demands: []Demand{waitingGang(Share{0, 3}, Share{1, 1})},
+			check:   func(t *testing.T, plan Plan) { require.ElementsMatch(t, []int{0, 0, 0, 1}, placedOf(plan, 0)) },
+		},
+		{
+			name: "urgent work takes a worker for which no gang waits", config: policy, workers: workers(27, 8, 6),
+			demands: []Demand{
+				waitingGang(Share{0, 3}, Share{1, 1}),
+				{Priority: 0, Need: cores(3), Tasks: tasks(1), Candidates: on(3)},
+			},
+			check: func(t *testing.T, plan Plan) { require.Equal(t, []int{2}, placedOf(plan, 1)) },
+		},
+		{
+			name: "a gang that will start soon enough without it stops nothing", config: policy, workers: full,
+			runs: map[int][]Run{
+				0: {{Handle: 0, Priority: 2, Need: cores(10), Rest: 300 * time.Millisecond, Reclaimable: true}},
+				1: {{Handle: 1, Priority: 2, Need: cores(10), Rest: 300 * time.Millisecond, Reclaimable: true}},
+			},
+			demands: []Demand{gang(2, 9, on(2))},
+			check: func(t *testing.T, plan Plan) {
+				require.Empty(t, plan.Preempt)
+				require.Equal(t, 300*time.Millisecond, plan.Waiting[0].In)
+			},
+		},
+		{
+			name: "nothing is stopped for a gang that waits for longer work anyway", config: policy, workers: full,
+			runs: map[int][]Run{
+				0: {{Handle: 0, Priority: 2, Need: cores(10), Rest: 3 * time.Second, Reclaimable: true}},
+				1: {{Handle: 1, Priority: 1, Need: cores(10), Rest: 2 * time.Second}},
+			},
+			demands: []Demand{gang(2, 9, on(2))},
+			check: func(t *testing.T, plan Plan) {
+				require.Empty(t, plan.Preempt)
+				require.Equal(t, 2*time.Second, plan.Waiting[0].In)
+			},
+		},
+		{
+			name: "a gang stops only what keeps its work, and no more than it needs", config: policy, workers: full, runs: reclaimable,
 			demands: []Demand{gang(1, 9, on(2)), gang(2, 9, on(2))},
 			check: func(t *testing.T, plan Plan) {
 				require.ElementsMatch(t, []int{0, 1}, plan.Preempt)
 			},
 		},
 		{
-			name: "runs that are being stopped are not asked for again", config: policy, workers: stopping,
+			name: "runs that are being stopped are not asked for again", config: policy, workers: full, runs: stopping,
 			demands: []Demand{gang(2, 9, on(2))},
 			check: func(t *testing.T, plan Plan) {
 				require.Empty(t, plan.Preempt)
-				require.Equal(t, []int{0}, plan.NeedConsent)
+				require.True(t, plan.Waiting[0].Possible)
+				require.Equal(t, policy.StopTime, plan.Waiting[0].In)
 			},
 		},
 		{
-			name: "a gang that is late stops nothing", config: policy, workers: full,
+			name: "a gang that is late stops nothing", config: policy, workers: full, runs: reclaimable,
 			demands: []Demand{func() Demand { d := gang(2, 9, on(2)); d.Lateness = Late; return d }()},
 			check:   func(t *testing.T, plan Plan) { require.Empty(t, plan.Preempt) },
 		},
@@ -190,7 +265,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			test.check(t, New(test.config).Decide(test.workers, test.demands))
+			test.check(t, New(test.config).Decide(test.workers, test.demands, runs(test.workers, test.runs)))
 		})
 	}
 }
@@ -204,7 +279,7 @@
 		d.Priority, d.Gang, d.Urgency = i%3, i%4 == 0, int64(i*37%11)
 		demands = append(demands, d)
 	}
-	plan := New(Config{Headroom: 0.1, ReservingGangs: 2}).Decide(list, demands)
+	plan := New(Config{Headroom: 0.1, StopTime: 400 * time.Millisecond, PlannedGangs: 2}).Decide(list, demands, runs(list, nil))
 	used := make([]resource.Vector, len(list))
 	for _, p := range plan.Placements {
 		used[p.Worker] = used[p.Worker].Add(demands[p.Demand].Need)
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"flamingodrift.example/controld/internal/resource"
 )
@@ -10,51 +11,53 @@
 // offer is how many members of a gang a worker could hold.
 type offer struct {
 	candidate Candidate
-	// now fits at once, soon after runs that are being stopped have ended, later after preemption, and ever on an empty
-	// worker.
-	now, soon, later, ever int
+	// now fits at once, and limit is how many the step may have on the worker.
+	now, limit int
 }
 
-// placeGang places all waiting tasks of a gang or none. A gang that does not fit keeps workers from less urgent work, and
-// stops what keeps its work when stopped.
+// start is a plan for a gang that has to wait: when it could start and how many members each offer would hold.
+type start struct {
+	in    time.Duration
+	slots []int
+}
+
+// placeGang places all waiting tasks of a gang or none. A gang that has to wait holds the room on which it can start
+// first, so that small tasks do not take that room one by one, and stops less urgent runs where it starts earlier so.
 func (r *round) placeGang(index int) {
 	d := &r.demands[index]
-	offers := r.offers(d)
+	r.release(index)
+	offers, count := r.offers(d), len(d.Tasks)
 	if d.OneRack {
-		offers = r.bestRack(offers, len(d.Tasks))
+		offers = r.bestRack(d, offers)
 	}
-	allowed, now, soon, later := 0, 0, 0, 0
+	allowed, now := 0, 0
 	for _, o := range offers {
 		if o.candidate.Allowed {
 			allowed += o.now
 		}
-		now, soon, later = now+o.now, soon+o.soon, later+o.later
+		now += o.now
 	}
-	count := len(d.Tasks)
-	switch {
-	case allowed >= count:
+	if allowed >= count {
 		r.fillGang(index, offers)
 		return
-	case now >= count:
-		r.plan.NeedConsent = append(r.plan.NeedConsent, index)
-		r.reserve(d, offers, count, func(o offer) int { return o.now })
-	case d.Lateness == Overdue || r.reserving >= r.cfg.ReservingGangs:
-	case soon >= count:
-		r.reserving++
-		// The consent is renewed while the room becomes free.
-		r.plan.NeedConsent = append(r.plan.NeedConsent, index)
-		r.reserve(d, offers, count, func(o offer) int { return o.soon })
-	case later >= count && d.Lateness == InTime:
-		r.reserving++
-		r.plan.NeedConsent = append(r.plan.NeedConsent, index)
-		r.preempt(d, offers, count)
-		r.reserve(d, offers, count, func(o offer) int { return o.later })
-	default:
-		r.reserving++
-		// Other runs have to end first; without the reservation small tasks would take their room one by one.
-		r.reserve(d, offers, count, func(o offer) int { return o.ever })
-	}
-	r.plan.Blocked = append(r.plan.Blocked, index)
+	}
+	if d.Lateness == Overdue || r.planned >= r.cfg.PlannedGangs {
+		r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: now >= count})
+		return
+	}
+	r.planned++
+	waiting, ok := r.earliest(d, offers, false)
+	if d.Lateness == InTime && (!ok || waiting.in > r.cfg.StopTime) {
+		if sooner, possible := r.earliest(d, offers, true); possible && (!ok || sooner.in < waiting.in) {
+			waiting, ok = sooner, true
+			if sooner.in <= r.cfg.StopTime {
+				r.preempt(d, offers, sooner)
+			}
+		}
+	}
+	shares := waiting.shares(offers)
+	r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: ok, In: waiting.in, Shares: shares})
+	r.hold(index, shares, waiting.in)
 }
 
 func (r *round) offers(d *Demand) []offer {
@@ -64,45 +67,94 @@
 		if w.Unproven || slices.ContainsFunc(d.Tasks, func(t Task) bool { return slices.Contains(t.Avoid, c.Worker) }) {
 			continue
 		}
-		if d.Priority > r.reserved[c.Worker] || r.reserved[c.Worker] == d.Priority {
-			// Another gang of the same priority waits for this worker.
-			continue
-		}
 		limit := int64(len(d.Tasks))
 		if d.MostPerWorker > 0 {
 			limit = int64(max(0, d.MostPerWorker-c.Holding))
 		}
-		free := r.usable(d, c.Worker)
-		soon := free.Add(w.Stopping)
-		o := offer{candidate: c, now: int(min(limit, d.Need.Count(free))), soon: int(min(limit, d.Need.Count(soon)))}
-		o.later = o.soon
-		if !r.preempted[c.Worker] {
-			o.later = int(min(limit, d.Need.Count(soon.Add(reclaimable(d, w)))))
-		}
-		if o.ever = int(min(limit, d.Need.Count(w.Room))); o.ever > 0 {
-			offers = append(offers, o)
+		if limit = min(limit, d.Need.Count(w.Room)); limit > 0 {
+			offers = append(offers, offer{
+				candidate: c, limit: int(limit), now: int(min(limit, d.Need.Count(r.usable(d, c.Worker)))),
+			})
 		}
 	}
+	// Members end together, so a slow worker slows all of them.
 	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(b.now, a.now), cmp.Compare(b.soon, a.soon), cmp.Compare(b.later, a.later),
-			cmp.Compare(r.free[b.candidate.Worker].CPU(), r.free[a.candidate.Worker].CPU()),
-			cmp.Compare(r.workers[b.candidate.Worker].Speed, r.workers[a.candidate.Worker].Speed))
+		return cmp.Or(cmp.Compare(r.workers[b.candidate.Worker].Speed, r.workers[a.candidate.Worker].Speed), cmp.Compare(b.now, a.now))
 	})
 	return offers
 }
 
-func reclaimable(d *Demand, w *Worker) resource.Vector {
-	var sum resource.Vector
-	for _, run := range w.Reclaimable {
-		if run.Priority > d.Priority {
-			sum = sum.Add(run.Need)
+// vacancy is room that a worker has from a time on.
+type vacancy struct {
+	offer int
+	in    time.Duration
+	slots int
+}
+
+// earliest returns the first time at which the offers hold the whole gang, by when the present runs should end.
+func (r *round) earliest(d *Demand, offers []offer, reclaim bool) (start, bool) {
+	var vacancies []vacancy
+	for i, o := range offers {
+		vacancies = r.addVacancies(vacancies, d, i, o, reclaim)
+	}
+	slices.SortStableFunc(vacancies, func(a, b vacancy) int { return cmp.Compare(a.in, b.in) })
+	s := start{slots: make([]int, len(offers))}
+	missing := len(d.Tasks)
+	for _, v := range vacancies {
+		more := min(v.slots, missing)
+		s.slots[v.offer] += more
+		s.in = v.in
+		if missing -= more; missing == 0 {
+			return s, true
+		}
+	}
+	return start{}, false
+}
+
+func (r *round) addVacancies(vacancies []vacancy, d *Demand, index int, o offer, reclaim bool) []vacancy {
+	free := r.free[o.candidate.Worker]
+	for _, h := range r.holds[o.candidate.Worker] {
+		if d.Priority >= h.priority {
+			free = free.Sub(h.room)
+		}
+	}
+	rest := func(run Run) time.Duration {
+		if r.stopped[run.Handle] || reclaim && reclaimable(d, run) {
+			return min(run.Rest, r.cfg.StopTime)
+		}
+		return run.Rest
+	}
+	ends := slices.Clone(r.runsOn(o.candidate.Worker))
+	slices.SortFunc(ends, func(a, b Run) int { return cmp.Compare(rest(a), rest(b)) })
+	known := int(min(int64(o.limit), d.Need.Count(free)))
+	if known > 0 {
+		vacancies = append(vacancies, vacancy{offer: index, slots: known})
+	}
+	for _, run := range ends {
+		if known == o.limit {
+			break
+		}
+		free = free.Add(run.Need)
+		if slots := int(min(int64(o.limit), d.Need.Count(free))); slots > known {
+			vacancies = append(vacancies, vacancy{offer: index, in: rest(run), slots: slots - known})
+			known = slots
 		}
 	}
-	return sum
+	return vacancies
 }
 
-// bestRack keeps the offers of the rack that can hold the gang soonest; without such a rack it keeps all.
-func (r *round) bestRack(offers []offer, count int) []offer {
+// runsOn returns the runs on a worker.
+func (r *round) runsOn(worker int) []Run {
+	if r.runs[worker] == nil {
+		r.runs[worker] = r.runsOf(worker)
+	}
+	return r.runs[worker]
+}
+
+func reclaimable(d *Demand, run Run) bool { return run.Reclaimable && run.Priority > d.Priority }
+
+// bestRack keeps the offers of the rack that can hold the gang first; without such a rack it keeps all.
+func (r *round) bestRack(d *Demand, offers []offer) []offer {
 	racks := map[string][]offer{}
 	var names []string
 	for _, o := range offers {
@@ -112,28 +164,18 @@
 		}
 		racks[rack] = append(racks[rack], o)
 	}
-	for _, depth := range []func(offer) int{
-		func(o offer) int { return o.now }, func(o offer) int { return o.soon }, func(o offer) int { return o.later },
-	} {
-		for _, name := range names {
-			sum := 0
-			for _, o := range racks[name] {
-				sum += depth(o)
-			}
-			if sum >= count {
-				return racks[name]
-			}
+	best, found := offers, false
+	var first time.Duration
+	for _, name := range names {
+		if s, ok := r.earliest(d, racks[name], d.Lateness == InTime); ok && (!found || s.in < first) {
+			best, first, found = racks[name], s.in, true
 		}
 	}
-	return offers
+	return best
 }
 
 func (r *round) fillGang(index int, offers []offer) {
 	d := &r.demands[index]
-	// Members end together, so a slow worker slows all of them.
-	slices.SortStableFunc(offers, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(r.workers[b.candidate.Worker].Speed, r.workers[a.candidate.Worker].Speed), cmp.Compare(b.now, a.now))
-	})
 	next := 0
 	for _, o := range offers {
 		if !o.candidate.Allowed {
@@ -149,42 +191,65 @@
 	}
 }
 
-// reserve keeps the workers that will hold the gang from work of the same or a lower priority.
-func (r *round) reserve(d *Demand, offers []offer, count int, depth func(offer) int) {
-	for _, o := range offers {
-		if count <= 0 {
-			return
+// shares returns the workers of a planned start.
+func (s start) shares(offers []offer) []Share {
+	var shares []Share
+	for i, slots := range s.slots {
+		if slots > 0 {
+			shares = append(shares, Share{Worker: offers[i].candidate.Worker, Count: slots})
 		}
-		r.reserved[o.candidate.Worker] = min(r.reserved[o.candidate.Worker], d.Priority)
-		count -= depth(o)
 	}
+	return shares
 }
 
-// preempt stops as few runs as make room for the members that do not fit.
-func (r *round) preempt(d *Demand, offers []offer, count int) {
-	for _, o := range offers {
-		if count <= 0 {
-			return
+// hold keeps room for a gang that should start in a while.
+func (r *round) hold(demand int, shares []Share, in time.Duration) {
+	d := &r.demands[demand]
+	for _, s := range shares {
+		r.holds[s.Worker] = append(r.holds[s.Worker], hold{
+			demand: demand, room: d.Need.Times(int64(s.Count)), priority: d.Priority, in: in,
+		})
+	}
+}
+
+// release gives up the room that a gang holds since an earlier round.
+func (r *round) release(demand int) {
+	for _, s := range r.demands[demand].Held {
+		r.holds[s.Worker] = slices.DeleteFunc(r.holds[s.Worker], func(h hold) bool { return h.demand == demand })
+	}
+}
+
+// preempt stops as few runs as the planned start needs.
+func (r *round) preempt(d *Demand, offers []offer, s start) {
+	for i, slots := range s.slots {
+		if slots > 0 {
+			r.stopRuns(d, offers[i].candidate.Worker, d.Need.Times(int64(slots)), s.in)
 		}
-		w := &r.workers[o.candidate.Worker]
-		wanted := min(o.later, count)
-		count -= wanted
-		missing := d.Need.Times(int64(wanted)).Sub(r.free[o.candidate.Worker].Add(w.Stopping))
-		r.stopRuns(d, o.candidate.Worker, missing)
 	}
 }
 
-func (r *round) stopRuns(d *Demand, worker int, missing resource.Vector) {
-	w := &r.workers[worker]
-	for _, run := range w.Reclaimable {
-		if missing.FitsIn(resource.Vector{}) {
+// stopRuns stops runs on a worker until the needed room is free by a time.
+func (r *round) stopRuns(d *Demand, worker int, needed resource.Vector, by time.Duration) {
+	free := r.free[worker]
+	for _, h := range r.holds[worker] {
+		if d.Priority >= h.priority {
+			free = free.Sub(h.room)
+		}
+	}
+	runs := r.runsOn(worker)
+	for _, run := range runs {
+		if run.Rest <= by || r.stopped[run.Handle] {
+			free = free.Add(run.Need)
+		}
+	}
+	for _, run := range runs {
+		if needed.FitsIn(free) {
 			return
 		}
-		if run.Priority <= d.Priority {
-			continue
+		if reclaimable(d, run) && run.Rest > by && !r.stopped[run.Handle] {
+			free = free.Add(run.Need)
+			r.stopped[run.Handle] = true
+			r.plan.Preempt = append(r.plan.Preempt, run.Handle)
 		}
-		missing = missing.Sub(run.Need)
-		r.preempted[worker] = true
-		r.plan.Preempt = append(r.plan.Preempt, run.Run)
 	}
 }
--- a/controld/internal/allocator/single.go
+++ b/controld/internal/allocator/single.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// heldPenalty is how much slower a worker counts for urgent work while a gang waits for its room.
+const heldPenalty = 2.0
+
 // placeSingles gives each task of a step its own worker, one by one.
 func (r *round) placeSingles(index int) {
 	d := &r.demands[index]
@@ -65,6 +68,9 @@
 		s++
 	}
 	if d.Priority == 0 {
+		if len(r.holds[worker]) > 0 {
+			s -= heldPenalty
+		}
 		return s + 0.5*share
 	}
 	return 0.3*s - 0.5*share
--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -198,9 +198,8 @@
 			life.born != p.GetBornUnixMs() || life.draining || !t.step.need.FitsIn(life.Free()) {
 			continue
 		}
-		life.take(t)
-		t.life, t.previousRun, t.run, t.lastWorker = life, t.run, int(p.GetRun()), life.worker
-		t.step.job.held++
+		t.hold(life)
+		t.previousRun, t.run, t.lastWorker = t.run, int(p.GetRun()), life.worker
 		taken = append(taken, t)
 	}
 	if len(taken) == 0 {
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -72,6 +72,8 @@
 	need   resource.Vector
 	tasks  []*Task
 	done   int
+	// held counts the runs that hold room on a worker.
+	held int
 	// failedRuns counts the failed runs of a gang, and lastFailed is the newest of them.
 	failedRuns int
 	lastFailed int
@@ -95,6 +97,21 @@
 // Done reports whether all tasks are done.
 func (s *Step) Done() bool { return s.done == len(s.tasks) }
 
+// Held returns how many runs of the step hold room on a worker.
+func (s *Step) Held() int { return s.held }
+
+// Waiting returns how many tasks may get a run.
+func (s *Step) Waiting() int {
+	switch {
+	case s.Done() || s.job.Ended():
+		return 0
+	case s.spec.GetGang():
+		return len(s.tasks) - s.held
+	default:
+		return len(s.tasks) - s.done - s.held
+	}
+}
+
 // Ready reports whether the steps before are done and this one is not.
 func (s *Step) Ready() bool {
 	if s.Done() {
@@ -218,9 +235,18 @@
 // FailedOn reports whether a run failed on a worker.
 func (t *Task) FailedOn(worker string) bool { return slices.Contains(t.failedOn, worker) }
 
+// hold takes the room of a run on a worker.
+func (t *Task) hold(life *Life) {
+	life.take(t)
+	t.life = life
+	t.step.held++
+	t.step.job.held++
+}
+
 func (t *Task) release() {
 	t.life.give(t)
 	t.life = nil
+	t.step.held--
 	t.step.job.held--
 }
 
--- a/controld/internal/batch/life.go
+++ b/controld/internal/batch/life.go
@@ -13,11 +13,14 @@
 	room     resource.Vector
 	used     resource.Vector
 	draining bool
-	tasks    map[*Task]struct{}
+	// tasks are the tasks whose runs hold room here, with whether they were of the most urgent kind when they took it.
+	tasks map[*Task]bool
+	// urgent is the part of used that runs of the most urgent kind take.
+	urgent resource.Vector
 }
 
 func newLife(report *wire.WorkerLife) *Life {
-	l := &Life{worker: report.GetWorker(), born: report.GetBornUnixMs(), tasks: map[*Task]struct{}{}}
+	l := &Life{worker: report.GetWorker(), born: report.GetBornUnixMs(), tasks: map[*Task]bool{}}
 	l.update(report)
 	return l
 }
@@ -33,11 +36,17 @@
 
 func (l *Life) take(t *Task) {
 	l.used = l.used.Add(t.step.need)
-	l.tasks[t] = struct{}{}
+	l.tasks[t] = t.step.job.queue.GetPriority() == 0
+	if l.tasks[t] {
+		l.urgent = l.urgent.Add(t.step.need)
+	}
 }
 
 func (l *Life) give(t *Task) {
 	l.used = l.used.Sub(t.step.need)
+	if l.tasks[t] {
+		l.urgent = l.urgent.Sub(t.step.need)
+	}
 	delete(l.tasks, t)
 }
 
@@ -59,5 +68,8 @@
 // Free returns the room that no run holds. Runs that are being stopped and runs of unknown fate hold theirs.
 func (l *Life) Free() resource.Vector { return l.room.Sub(l.used) }
 
+// Urgent returns the room that runs of the most urgent kind hold.
+func (l *Life) Urgent() resource.Vector { return l.urgent }
+
 // Tasks returns the tasks whose runs hold room here. The map must not be changed.
-func (l *Life) Tasks() map[*Task]struct{} { return l.tasks }
+func (l *Life) Tasks() map[*Task]bool { return l.tasks }
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -101,8 +101,6 @@
 		s.done++
 	}
 	if life := b.lives[record.GetWorker()]; record.GetWorker() != "" && life != nil && life.born == record.GetBornUnixMs() {
-		life.take(t)
-		t.life = life
-		j.held++
+		t.hold(life)
 	}
 }
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -67,7 +67,7 @@
 	return &QueueConfig{Courier: f, LeastVoters: 3, Foreman: foreman.Config{
 		Lease: 4 * time.Second, LongestLease: 10 * time.Second, Wait: 0, AnswerTimeout: 400 * time.Millisecond, StartLease: 1500 * time.Millisecond,
 		ClockDriftPercent: 2, Forget: time.Hour, Logger: slog.New(slog.DiscardHandler),
-		Allocator: allocator.Config{ReservingGangs: 2},
+		Allocator: allocator.Config{StopTime: 400 * time.Millisecond, PlannedGangs: 2},
 	}}
 }
 
--- a/controld/internal/foreman/admit.go
+++ b/controld/internal/foreman/admit.go
@@ -63,11 +63,7 @@
 			continue
 		}
 		for _, step := range j.Steps() {
-			for _, t := range step.Tasks() {
-				if t.Waiting() {
-					sum += step.Need().CPU() * int64(step.Spec().GetEstimateMs()) / 1000
-				}
-			}
+			sum += int64(step.Waiting()) * step.Need().CPU() * int64(step.Spec().GetEstimateMs()) / 1000
 		}
 	}
 	return sum
--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/core/courier"
 	"flamingodrift.example/core/logger"
@@ -23,16 +24,24 @@
 	helperSilence = 3 * time.Second
 	// ticketMargin is how long before its end a ticket is no longer used: an order may take that long.
 	ticketMargin = 150 * time.Millisecond
-	// mostWaiting is how much work a helper may have before it gets no more calls.
+	// mostWaiting is how much work a helper may have before it gets no more calls for steps that can be in time; for more
+	// workers than were asked at first it is moreWaiting, and late steps take what is idle.
 	mostWaiting = time.Second
-	// renewAhead is how long before its end a ticket may be renewed: the longest calls take that long.
-	renewAhead = 700 * time.Millisecond
+	moreWaiting = 300 * time.Millisecond
 	// askPause is the shortest time between two questions for one step.
 	askPause = 250 * time.Millisecond
+	// gangShare is the share of a worker's room that a gang may hope for soon, while the cell is busy.
+	gangShare = 0.3
+	// fewestAsked is how many workers are asked for a gang at least: the length of a call hardly depends on so few.
+	fewestAsked = 24
+	// mostCalls bounds the calls that are open for one step.
+	mostCalls = 3
+	// renewBefore is how long before its start, over the length of a call, a gang begins to keep its tickets.
+	renewBefore = time.Second
 	// consentSlack is added to the expected length of a call before it is given up.
 	consentSlack = 1500 * time.Millisecond
 	// spareWorkers are asked for beside one worker for each task, as some are full by the time of the answer.
-	spareWorkers = 4
+	spareWorkers = 8
 	// firstGranted is the share of workers that are expected to be granted before anything was learned.
 	firstGranted = 0.5
 )
@@ -42,7 +51,9 @@
 type consent struct {
 	granted map[*batch.Life]*ticket
 	denied  map[string]bool
-	asking  bool
+	// pending are the workers that open calls name, and calls is the number of these calls.
+	pending map[string]bool
+	calls   int
 	askedAt time.Duration
 }
 
@@ -76,7 +87,7 @@
 func (f *Foreman) consent(step *batch.Step) *consent {
 	c := f.consents[step]
 	if c == nil {
-		c = &consent{granted: map[*batch.Life]*ticket{}, denied: map[string]bool{}}
+		c = &consent{granted: map[*batch.Life]*ticket{}, denied: map[string]bool{}, pending: map[string]bool{}}
 		f.consents[step] = c
 	}
 	return c
@@ -101,65 +112,146 @@
 	}
 }
 
-// ask looks for consent for a step: for workers that were not asked before, or again for granted ones whose tickets have
-// run out.
-func (f *Foreman) ask(step *batch.Step, policy *wire.ConsentPolicy, renew bool, now time.Duration) {
+// askFirst asks for a step for which nothing is known yet. For a wide gang several calls go out at a time.
+func (f *Foreman) askFirst(step *batch.Step, lateness allocator.Lateness, now time.Duration) {
 	c := f.consent(step)
-	if c.asking || c.askedAt > 0 && now-c.askedAt < askPause {
+	if c.calls > 0 || len(c.granted) > 0 {
 		return
 	}
-	workers := f.workersToAsk(step, c, renew, now)
-	if len(workers) == 0 {
+	wanted := f.askCount(step)
+	for c.calls < mostCalls && wanted > 0 {
+		asked := f.ask(step, f.newWorkers(step, c, min(wanted, mostAsked), now), patience(lateness, mostWaiting), now)
+		if asked == 0 {
+			return
+		}
+		wanted -= asked
+	}
+}
+
+// askMore asks for workers beyond those that were asked before.
+func (f *Foreman) askMore(step *batch.Step, lateness allocator.Lateness, now time.Duration) {
+	c := f.consent(step)
+	if c.calls > 0 || now-c.askedAt < askPause {
 		return
 	}
-	length := time.Duration((policy.GetCallMs() + policy.GetWorkerMs()*float64(len(workers))) * float64(time.Millisecond))
-	name := f.chooseHelper(length, now)
-	if name == "" {
+	f.ask(step, f.newWorkers(step, c, min(f.askCount(step), mostAsked), now), patience(lateness, moreWaiting), now)
+}
+
+// renewTickets asks again for the granted workers whose tickets end before an answer could come.
+func (f *Foreman) renewTickets(step *batch.Step, lateness allocator.Lateness, now time.Duration) {
+	c := f.consent(step)
+	ahead := f.callLength(step, len(c.granted))
+	var ending []*session
+	for life, t := range c.granted {
+		s := f.present(life)
+		if s != nil && f.usable(s, now) && !c.pending[life.Worker()] && now >= t.until-ahead {
+			ending = append(ending, s)
+		}
+	}
+	if len(ending) == 0 || c.calls > 0 && now-c.askedAt < askPause {
 		return
 	}
-	h := f.helpers[name]
+	slices.SortFunc(ending, func(a, b *session) int { return cmp.Compare(a.life.Worker(), b.life.Worker()) })
+	f.ask(step, ending[:min(len(ending), mostAsked)], patience(lateness, mostWaiting), now)
+}
+
+// patience is how long a call may wait at a helper.
+func patience(lateness allocator.Lateness, inTime time.Duration) time.Duration {
+	if lateness == allocator.InTime {
+		return inTime
+	}
+	return 0
+}
+
+func (f *Foreman) callLength(step *batch.Step, workers int) time.Duration {
+	policy := step.Job().Queue().GetConsent()
+	return time.Duration((policy.GetCallMs() + policy.GetWorkerMs()*float64(workers)) * float64(time.Millisecond))
+}
+
+// ask makes a call for workers and returns how many it names; 0 when no helper is free soon.
+func (f *Foreman) ask(step *batch.Step, sessions []*session, patience, now time.Duration) int {
+	if len(sessions) == 0 || step.Job().Queue().GetConsent() == nil {
+		return 0
+	}
+	length := f.callLength(step, len(sessions))
+	name := f.chooseHelper(length, patience, now)
+	if name == "" {
+		return 0
+	}
+	h, c := f.helpers[name], f.consent(step)
 	h.busyUntil = max(h.busyUntil, now) + length
-	c.asking, c.askedAt = true, now
+	workers := make([]string, 0, len(sessions))
+	for _, s := range sessions {
+		workers = append(workers, s.life.Worker())
+		c.pending[s.life.Worker()] = true
+	}
+	c.calls, c.askedAt = c.calls+1, now
 	f.out.Asks = append(f.out.Asks, Ask{
 		Helper: name, Address: h.address, Step: step, Workers: workers, Timeout: h.busyUntil - now + consentSlack,
 	})
+	return len(workers)
 }
 
-// workersToAsk returns the workers with the most room that could take the step.
-func (f *Foreman) workersToAsk(step *batch.Step, c *consent, renew bool, now time.Duration) []string {
-	var sessions []*session
+// roomiest returns the usable workers, those with the most room first. The order is worked out once for each moment.
+func (f *Foreman) roomiest(now time.Duration) []*session {
+	if f.orderedAt == now && f.ordered != nil {
+		return f.ordered
+	}
+	f.ordered, f.orderedAt = f.ordered[:0], now
 	for _, s := range f.sessions {
-		if !f.usable(s, now) || !suits(step, s.life) || c.denied[s.life.Worker()] {
-			continue
-		}
-		if granted := c.granted[s.life]; renew != (granted != nil) || granted != nil && now < granted.until-renewAhead {
-			continue
+		if f.usable(s, now) {
+			f.ordered = append(f.ordered, s)
 		}
-		sessions = append(sessions, s)
 	}
-	slices.SortFunc(sessions, func(a, b *session) int {
+	slices.SortFunc(f.ordered, func(a, b *session) int {
 		return cmp.Or(cmp.Compare(b.life.Free().CPU(), a.life.Free().CPU()), cmp.Compare(a.life.Worker(), b.life.Worker()))
 	})
-	sessions = sessions[:min(len(sessions), f.askCount(step, renew))]
-	workers := make([]string, 0, len(sessions))
-	for _, s := range sessions {
-		workers = append(workers, s.life.Worker())
+	return f.ordered
+}
+
+// newWorkers returns up to most workers that could take a step and were not asked before. Room that a gang waits for is no
+// better than none.
+func (f *Foreman) newWorkers(step *batch.Step, c *consent, most int, now time.Duration) []*session {
+	var sessions, rest []*session
+	for _, s := range f.roomiest(now) {
+		if len(sessions) == most {
+			return sessions
+		}
+		worker := s.life.Worker()
+		switch {
+		case c.denied[worker] || c.pending[worker] || c.granted[s.life] != nil || !suits(step, s.life):
+		case !s.held && step.Need().FitsIn(s.life.Free()):
+			sessions = append(sessions, s)
+		default:
+			rest = append(rest, s)
+		}
 	}
-	return workers
+	return append(sessions, rest[:min(len(rest), most-len(sessions))]...)
 }
 
-func (f *Foreman) askCount(step *batch.Step, renew bool) int {
-	if step.Spec().GetGang() || renew {
+// askCount returns how many workers a step should be asked for, by the share that is usually granted.
+func (f *Foreman) askCount(step *batch.Step) int {
+	waiting := step.Waiting()
+	share := f.grantedShare(step.Job().Queue().GetName())
+	if !step.Spec().GetGang() {
+		return min(mostAsked, int(math.Ceil(float64(waiting+spareWorkers)/share)))
+	}
+	room := f.meanRoom()
+	if room == 0 {
 		return mostAsked
 	}
-	waiting := 0
-	for _, t := range step.Tasks() {
-		if t.Waiting() {
-			waiting++
-		}
+	workers := float64(step.Need().Times(int64(waiting)).CPU()) / (gangShare * room)
+	return max(fewestAsked, int(math.Ceil(workers/share)))
+}
+
+// meanRoom returns the mean processors of a worker, in thousandths.
+func (f *Foreman) meanRoom() float64 {
+	var sum int64
+	lives := f.batch.Lives()
+	for _, life := range lives {
+		sum += life.Room().CPU()
 	}
-	share := f.grantedShare(step.Job().Queue().GetName())
-	return min(mostAsked, int(math.Ceil(float64(waiting+spareWorkers)/share)))
+	return float64(sum) / float64(max(1, len(lives)))
 }
 
 func (f *Foreman) grantedShare(queue string) float64 {
@@ -169,9 +261,9 @@
 	return firstGranted
 }
 
-// chooseHelper returns the helper that is free first. Some helpers are kept for short calls, so that these never wait
-// behind long ones.
-func (f *Foreman) chooseHelper(length, now time.Duration) string {
+// chooseHelper returns the helper that is free first; empty when the call would wait for longer than its patience. Some
+// helpers are kept for short calls, so that these never wait behind long ones.
+func (f *Foreman) chooseHelper(length, patience, now time.Duration) string {
 	names := make([]string, 0, len(f.helpers))
 	for name, h := range f.helpers {
 		if now-h.heardAt < helperSilence {
@@ -188,8 +280,8 @@
 			best = name
 		}
 	}
-	if best != "" && f.helpers[best].busyUntil-now > mostWaiting {
-		// More calls would only wait, or be rejected by the service; the most urgent steps ask again soon.
+	if best != "" && f.helpers[best].busyUntil-now > patience {
+		// More calls would only wait, or be rejected by the service; the step asks again in a later round.
 		return ""
 	}
 	return best
@@ -201,7 +293,10 @@
 	if c == nil {
 		return
 	}
-	c.asking = false
+	c.calls--
+	for _, worker := range a.Workers {
+		delete(c.pending, worker)
+	}
 	f.changed = true
 	if err != nil || answer.Busy {
 		if h := f.helpers[a.Helper]; h != nil && err != nil {
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -35,8 +35,11 @@
 	return need == "" || slices.Contains(life.Report().GetLabels(), need)
 }
 
-// restPerStep is the time to the next round for each step that the last one looked at.
-const restPerStep = 250 * time.Microsecond
+// The time to the next round, for each step that the last one looked at and for each gang that it planned for.
+const (
+	restPerStep = 250 * time.Microsecond
+	restPerPlan = 750 * time.Microsecond
+)
 
 // round is the input of one decision with the handles to read its outcome.
 type round struct {
@@ -46,7 +49,7 @@
 	workers  []allocator.Worker
 	steps    []*batch.Step
 	demands  []allocator.Demand
-	reclaim  []*batch.Task
+	runs     []*batch.Task
 }
 
 // decide returns the placements of one round.
@@ -56,24 +59,18 @@
 	if len(r.steps) == 0 {
 		return nil
 	}
-	f.restUntil = now + time.Duration(len(r.steps))*restPerStep
-	plan := f.alloc.Decide(r.workers, r.demands)
+	plan := f.alloc.Decide(r.workers, r.demands, func(worker int) []allocator.Run { return f.runsOf(r, worker) })
+	f.restUntil = now + time.Duration(len(r.steps))*restPerStep + time.Duration(len(plan.Waiting))*restPerPlan
 	for _, handle := range plan.Preempt {
-		t := r.reclaim[handle]
+		t := r.runs[handle]
 		logger.RunPreempted.Log(f.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
 			"run", t.Run(), "worker", t.Life().Worker())
 		f.stopTask(t, now)
 	}
-	for _, d := range plan.NeedConsent {
-		if policy := r.steps[d].Job().Queue().GetConsent(); policy != nil {
-			f.ask(r.steps[d], policy, true, now)
-		}
-	}
-	for _, d := range plan.Blocked {
-		if policy := r.steps[d].Job().Queue().GetConsent(); policy != nil {
-			f.ask(r.steps[d], policy, false, now)
-		}
+	for _, s := range r.sessions {
+		s.held = false
 	}
+	f.seekConsent(r, plan, now)
 	placements := make([]*wire.RunPlacement, 0, len(plan.Placements))
 	for _, p := range plan.Placements {
 		step, life := r.steps[p.Demand], r.sessions[p.Worker].life
@@ -86,6 +83,87 @@
 	return placements
 }
 
+// runsOf returns the runs on a worker of the round.
+func (f *Foreman) runsOf(r *round, worker int) []allocator.Run {
+	s := r.sessions[worker]
+	runs := make([]allocator.Run, 0, len(s.runs))
+	for t, run := range s.runs {
+		stopping := run.ending || run.stopping
+		rest := f.cfg.Allocator.StopTime
+		if !stopping {
+			rest = f.remaining(t, run, r.now)
+		}
+		runs = append(runs, allocator.Run{
+			Handle: len(r.runs), Priority: int(t.Step().Job().Queue().GetPriority()), Need: t.Step().Need(), Rest: rest,
+			Reclaimable: !stopping && f.reclaimable(t, run, r.now),
+		})
+		r.runs = append(r.runs, t)
+	}
+	return runs
+}
+
+// gatherWithin is how soon a gang must be able to start to begin gathering room: by then most of it is there.
+const gatherWithin = time.Second
+
+// seekConsent asks for the steps that wait. A gang keeps its tickets while it is going to start soon, and asks for more
+// workers when it would start too late on those that it has.
+func (f *Foreman) seekConsent(r *round, plan allocator.Plan, now time.Duration) {
+	for _, d := range plan.NeedConsent {
+		if r.steps[d].Job().Queue().GetConsent() != nil {
+			f.renewTickets(r.steps[d], r.demands[d].Lateness, now)
+		}
+	}
+	for _, w := range plan.Waiting {
+		step, demand := r.steps[w.Demand], &r.demands[w.Demand]
+		f.gather(r, step, demand, w)
+		if step.Job().Queue().GetConsent() == nil {
+			continue
+		}
+		if w.Possible && w.In <= f.callLength(step, len(f.consent(step).granted))+renewBefore {
+			f.renewTickets(step, demand.Lateness, now)
+		}
+		if !w.Possible || now+w.In > f.latestStart(step) {
+			f.askMore(step, demand.Lateness, now)
+		}
+	}
+	for _, d := range plan.Blocked {
+		if r.steps[d].Job().Queue().GetConsent() != nil {
+			f.askMore(r.steps[d], r.demands[d].Lateness, now)
+		}
+	}
+}
+
+// gather takes note of where a gang is going to run, once it has begun to gather room.
+func (f *Foreman) gather(r *round, step *batch.Step, d *allocator.Demand, w allocator.Waiting) {
+	if !w.Possible || d.Lateness != allocator.InTime || len(d.Held) == 0 && w.In > gatherWithin {
+		delete(f.gathering, step)
+		return
+	}
+	shares := make([]gathered, 0, len(w.Shares))
+	for _, s := range w.Shares {
+		r.sessions[s.Worker].held = true
+		shares = append(shares, gathered{life: r.sessions[s.Worker].life, count: s.Count})
+	}
+	f.gathering[step] = shares
+}
+
+// gathered is how many members of a gang are going to run on a worker.
+type gathered struct {
+	life  *batch.Life
+	count int
+}
+
+// held returns the room that a gang holds, by the workers of the round.
+func (r *round) held(shares []gathered) []allocator.Share {
+	held := make([]allocator.Share, 0, len(shares))
+	for _, s := range shares {
+		if i, ok := r.index[s.life]; ok {
+			held = append(held, allocator.Share{Worker: i, Count: s.count})
+		}
+	}
+	return held
+}
+
 func (f *Foreman) addWorkers(r *round) {
 	for _, s := range f.sessions {
 		if !f.usable(s, r.now) {
@@ -94,21 +172,10 @@
 		r.index[s.life] = len(r.sessions)
 		r.sessions = append(r.sessions, s)
 		w := allocator.Worker{
-			Room: s.life.Room(), Free: s.life.Free(), Rack: s.life.Report().GetRack(), Speed: f.speedOf(s.life.Worker()),
+			Room: s.life.Room(), Free: s.life.Free(), Urgent: s.life.Urgent().CPU(), Rack: s.life.Report().GetRack(),
+			Speed:    f.speedOf(s.life.Worker()),
 			Unproven: s.streak >= provenStreak,
 		}
-		for t, run := range s.runs {
-			switch {
-			case run.ending || run.stopping:
-				w.Stopping = w.Stopping.Add(t.Step().Need())
-			case f.reclaimable(t, run, r.now):
-				w.Reclaimable = append(w.Reclaimable, allocator.Reclaimable{
-					Run: len(r.reclaim), Priority: int(t.Step().Job().Queue().GetPriority()), Need: t.Step().Need(),
-				})
-				r.reclaim = append(r.reclaim, t)
-			default:
-			}
-		}
 		r.workers = append(r.workers, w)
 	}
 }
@@ -158,7 +225,7 @@
 			continue
 		}
 		for _, step := range j.Steps() {
-			if !step.Ready() {
+			if step.Waiting() == 0 || !step.Ready() {
 				continue
 			}
 			if tasks := f.waitingTasks(step, now); len(tasks) > 0 {
@@ -207,15 +274,16 @@
 func (f *Foreman) addDemand(r *round, w waitingStep) {
 	step := w.step
 	queue, spec := step.Job().Queue(), step.Spec()
-	if policy := queue.GetConsent(); policy != nil && len(f.consent(step).granted) == 0 {
-		f.ask(step, policy, false, r.now)
+	if queue.GetConsent() != nil && len(f.consent(step).granted) == 0 {
+		f.askFirst(step, w.lateness, r.now)
 		return
 	}
 	d := allocator.Demand{
 		Priority: int(queue.GetPriority()), Need: step.Need(), Gang: spec.GetGang(), OneRack: spec.GetOneRack(),
 		DataRack: spec.GetDataRack(), MostPerWorker: int(spec.GetMostPerWorker()),
+		Length: time.Duration(spec.GetEstimateMs()) * time.Millisecond,
 	}
-	d.Urgency, d.Lateness = w.urgency, w.lateness
+	d.Urgency, d.Lateness, d.Held = w.urgency, w.lateness, r.held(f.gathering[step])
 	for _, t := range w.tasks {
 		task := allocator.Task{Index: t.Index(), Last: t.FailuresLeft() <= 1}
 		if t.Failed() {
@@ -304,6 +372,12 @@
 	}
 }
 
+// latestStart returns by when a step must start to meet its objective.
+func (f *Foreman) latestStart(step *batch.Step) time.Duration {
+	p := f.prospects[step.Job()]
+	return p.acceptedAt + p.objective - p.rests[step.Number()]
+}
+
 const (
 	// leastWeight and mostWeight bound how much the size of a job shifts its turn.
 	leastWeight = 0.4
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -65,8 +65,13 @@
 	consents  map[*batch.Step]*consent
 	helpers   map[string]*helper
 	prospects map[*batch.Job]prospect
+	// gathering is where the gangs that gather room are going to run.
+	gathering map[*batch.Step][]gathered
 	ended     []endedJob
 	speeds    map[string]*speed
+	// ordered are the usable workers at orderedAt, those with the most room first.
+	ordered   []*session
+	orderedAt time.Duration
 	// shares is the share of asked workers that were granted, by queue.
 	shares map[string]float64
 	// meanWork is the mean work of the jobs of a queue in core-milliseconds.
@@ -76,7 +81,9 @@
 	lives uint64
 	// ends and gone wait for the next command.
 	ends []*wire.RunEnd
-	gone []*wire.WorkerLife
+	// reported are the sessions with ends that are not acknowledged.
+	reported []*session
+	gone     []*wire.WorkerLife
 	// proposed is the command of this foreman that is in the log and not yet applied; nil when there is none.
 	proposed *wire.QueueCommand
 	changed  bool
@@ -140,7 +147,7 @@
 	f := &Foreman{
 		cfg: cfg, batch: b, token: token, since: now, alloc: allocator.New(cfg.Allocator),
 		sessions: map[string]*session{}, consents: map[*batch.Step]*consent{}, helpers: map[string]*helper{},
-		prospects: map[*batch.Job]prospect{}, speeds: map[string]*speed{}, shares: map[string]float64{},
+		prospects: map[*batch.Job]prospect{}, gathering: map[*batch.Step][]gathered{}, speeds: map[string]*speed{}, shares: map[string]float64{},
 		meanWork: map[string]float64{},
 		changed:  true,
 	}
@@ -234,13 +241,21 @@
 
 // acknowledge lets the workers forget the ends that are committed.
 func (f *Foreman) acknowledge(now time.Duration) {
-	for _, s := range f.sessions {
+	reported := f.reported
+	f.reported = nil
+	for _, s := range reported {
+		if f.present(s.life) != s {
+			continue
+		}
 		if s.handed > s.seen {
 			s.seen, s.renewAt = s.handed, now
 			if !s.renewing {
 				f.renew(s, now)
 			}
 		}
+		if s.listed > s.seen {
+			f.reported = append(f.reported, s)
+		}
 	}
 }
 
@@ -269,7 +284,7 @@
 		command.Placements = f.decide(now)
 	}
 	f.forget(command, now)
-	for _, s := range f.sessions {
+	for _, s := range f.reported {
 		s.handed = s.listed
 	}
 	if len(command.GetEnds())+len(command.GetGone())+len(command.GetPlacements())+len(command.GetForget()) == 0 {
@@ -298,5 +313,10 @@
 				delete(f.consents, step)
 			}
 		}
+		for step := range f.gathering {
+			if step.Job().Ended() || step.Done() {
+				delete(f.gathering, step)
+			}
+		}
 	}
 }
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -55,7 +55,7 @@
 	d.Foreman = New(Config{
 		Lease: testLease, LongestLease: 10 * time.Second, Wait: time.Second, AnswerTimeout: 400 * time.Millisecond, StartLease: testStart,
 		ClockDriftPercent: 2, Forget: time.Minute, Logger: slog.New(slog.DiscardHandler),
-		Allocator: allocator.Config{ReservingGangs: 1},
+		Allocator: allocator.Config{StopTime: 400 * time.Millisecond, PlannedGangs: 1},
 	}, d.batch, token, d.now)
 	d.work = Work{}
 }
@@ -428,15 +428,15 @@
 		d.Helper(&wire.HelperBeat{Name: name, Address: name + ":1"}, d.now)
 	}
 	given := 0
-	for name := d.chooseHelper(600*time.Millisecond, d.now); name != "" && given < 100; given++ {
+	for name := d.chooseHelper(600*time.Millisecond, mostWaiting, d.now); name != "" && given < 100; given++ {
 		d.helpers[name].busyUntil = max(d.helpers[name].busyUntil, d.now) + 600*time.Millisecond
-		name = d.chooseHelper(600*time.Millisecond, d.now)
+		name = d.chooseHelper(600*time.Millisecond, mostWaiting, d.now)
 	}
 	require.Less(t, given, 100, "calls would pile up at the service")
 	require.GreaterOrEqual(t, given, 4, "each helper for long calls gets one")
-	short := d.chooseHelper(10*time.Millisecond, d.now)
+	short := d.chooseHelper(10*time.Millisecond, mostWaiting, d.now)
 	require.LessOrEqual(t, d.helpers[short].busyUntil, d.now)
-	require.Empty(t, d.chooseHelper(time.Millisecond, d.now+2*helperSilence), "silent helpers are not asked")
+	require.Empty(t, d.chooseHelper(time.Millisecond, mostWaiting, d.now+2*helperSilence), "silent helpers are not asked")
 }
 
 // TestAdmit guards that a job which would wait longer than its result is worth anything is turned away at once, with a
--- a/controld/internal/foreman/order.go
+++ b/controld/internal/foreman/order.go
@@ -137,27 +137,26 @@
 	}
 }
 
+const (
+	// leastPercent is the progress from which on a run tells more than its estimate.
+	leastPercent = 10
+	// overrun is the share of its time so far that a run is expected to take on when it has passed its estimate.
+	overrun = 0.2
+)
+
 // remaining estimates how long a run will take from now on, by its progress where that tells more than the estimate.
 func (f *Foreman) remaining(t *batch.Task, r *run, now time.Duration) time.Duration {
 	ran := now - r.startedAt
-	if r.percent >= 10 {
-		return ran * time.Duration(100-r.percent) / time.Duration(r.percent)
+	whole := time.Duration(t.Step().Spec().GetEstimateMs()) * time.Millisecond
+	if r.percent >= leastPercent {
+		whole = (r.movedAt - r.startedAt) * 100 / time.Duration(r.percent)
 	}
-	return max(0, time.Duration(t.Step().Spec().GetEstimateMs())*time.Millisecond-ran)
+	return max(whole-ran, time.Duration(overrun*float64(ran)))
 }
 
 // brokenGang reports whether some but not all members of a gang that is not done have a run.
 func brokenGang(step *batch.Step) bool {
-	if !step.Spec().GetGang() || step.Done() {
-		return false
-	}
-	held := 0
-	for _, t := range step.Tasks() {
-		if t.Life() != nil {
-			held++
-		}
-	}
-	return held > 0 && held < len(step.Tasks())
+	return step.Spec().GetGang() && !step.Done() && step.Held() > 0 && step.Held() < len(step.Tasks())
 }
 
 func (f *Foreman) stopTask(t *batch.Task, now time.Duration) {
--- a/controld/internal/foreman/report.go
+++ b/controld/internal/foreman/report.go
@@ -47,6 +47,9 @@
 }
 
 func (f *Foreman) takeEnds(s *session, report courier.Report, now time.Duration) {
+	if s.listed == s.seen && len(report.Ended) > 0 && report.Ended[len(report.Ended)-1].Number > s.listed {
+		f.reported = append(f.reported, s)
+	}
 	for _, e := range report.Ended {
 		if e.Number <= s.listed {
 			continue
@@ -96,14 +99,14 @@
 
 // compareRuns settles the runs whose fate was unknown by what the worker lists.
 func (f *Foreman) compareRuns(s *session, o RenewOrder, report courier.Report, now time.Duration) {
-	present := make(map[*batch.Task]courier.Running, len(report.Running))
 	// A worker without strays may get runs again.
 	f.changed = f.changed || len(s.strays) > 0
 	s.strays = nil
 	for _, running := range report.Running {
 		t := f.find(s.life, running.Run)
 		if r := s.runs[t]; t != nil && r != nil && r.number == running.Run.Run {
-			present[t] = running
+			r.listedAt = now
+			f.follow(s, t, r, running, now)
 			continue
 		}
 		f.stopStray(s, running, now)
@@ -112,23 +115,27 @@
 		if r.ending {
 			continue
 		}
-		if running, ok := present[t]; ok {
-			f.confirm(r, now)
-			if running.Percent != r.percent {
-				r.percent, r.movedAt = running.Percent, now
-			}
-			if running.Checkpoint != "" {
-				r.checkpoint = running.Checkpoint
-			}
-			f.stopIfStuck(s, t, r, now)
-			continue
-		}
-		if len(report.Ended) < listLimit && f.neverRuns(s, o, r) {
+		if r.listedAt != now && len(report.Ended) < listLimit && f.neverRuns(s, o, r) {
 			f.end(s, t, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, r.checkpoint, "never_started", now)
 		}
 	}
 }
 
+// follow takes in what a worker tells of a run.
+func (f *Foreman) follow(s *session, t *batch.Task, r *run, running courier.Running, now time.Duration) {
+	if r.ending {
+		return
+	}
+	f.confirm(r, now)
+	if running.Percent != r.percent {
+		r.percent, r.movedAt = running.Percent, now
+	}
+	if running.Checkpoint != "" {
+		r.checkpoint = running.Checkpoint
+	}
+	f.stopIfStuck(s, t, r, now)
+}
+
 // stuckAfter is how long a run may make no progress: several reports come in that time, and a run shows progress with
 // each hundredth of its work.
 const stuckAfter = 2200 * time.Millisecond
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -39,6 +39,8 @@
 	// streak counts failed runs since the last one that succeeded.
 	streak     int
 	avoidUntil time.Duration
+	// held is set while a gang waits for the worker's room.
+	held bool
 	// drainEnd is when a draining worker may end; 0 when it has not told.
 	drainEnd time.Duration
 }
@@ -64,6 +66,8 @@
 	stoppedAt  time.Duration
 	checkpoint string
 	percent    int
+	// listedAt is when the worker's list last held the run.
+	listedAt time.Duration
 	// movedAt is when percent last changed.
 	movedAt time.Duration
 	// ending is set once the run's end was handed to the log.
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -45,8 +45,11 @@
 	forgetAfter = 180 * time.Second
 	// headroom leaves room for one task of the short kinds on each worker.
 	headroom = 0.12
-	// reservingGangs lets as many gangs gather room at a time as usually arrive in a second and a half.
-	reservingGangs  = 3
+	// stopTime is how long a run usually takes to end once it is told to stop, with the commit of its end; the platform
+	// allows 0.9 s.
+	stopTime = 400 * time.Millisecond
+	// plannedGangs bounds the time of a round: a plan looks at all runs on the workers that may hold the gang.
+	plannedGangs    = 12
 	controlTimeout  = 5 * time.Second
 	controlIdleTime = 60 * time.Second
 )
@@ -77,7 +80,7 @@
 		Foreman: foreman.Config{
 			Lease: lease, LongestLease: loader.Milliseconds(cfg.Queues.LongestLeaseMs), Wait: renewWait, AnswerTimeout: orderTimeout, StartLease: startLease,
 			ClockDriftPercent: workerDriftPercent, Forget: forgetAfter, Logger: log,
-			Allocator: allocator.Config{Headroom: headroom, ReservingGangs: reservingGangs},
+			Allocator: allocator.Config{Headroom: headroom, StopTime: stopTime, PlannedGangs: plannedGangs},
 		},
 	}
 }
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -139,12 +139,12 @@
 
 	electionDeadline time.Duration
 	// askedVotesAt is when this node last asked for votes.
-	askedVotesAt time.Duration
-	lastHeard        time.Duration
-	heardLeader      bool
-	lastHeartbeat    time.Duration
-	leaderSince      time.Duration
-	termStart        uint64
+	askedVotesAt  time.Duration
+	lastHeard     time.Duration
+	heardLeader   bool
+	lastHeartbeat time.Duration
+	leaderSince   time.Duration
+	termStart     uint64
 	// successor is the voter to which this leader hands over; empty when it does not.
 	successor     string
 	handoverUntil time.Duration
