--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -58,8 +58,9 @@
 }
 
 type ticket struct {
-	value string
-	until time.Duration
+	session *session
+	value   string
+	until   time.Duration
 }
 
 type helper struct {
@@ -316,7 +317,7 @@
 	for _, t := range answer.Tickets {
 		delete(c.denied, t.Worker)
 		if life := f.batch.Life(t.Worker); life != nil {
-			c.granted[life] = &ticket{value: t.Ticket, until: now + valid - ticketMargin}
+			c.granted[life] = &ticket{session: f.session(life, now), value: t.Ticket, until: now + valid - ticketMargin}
 		}
 	}
 	const weight = 0.1
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -20,12 +20,23 @@
 	longestPause = 8 * time.Second
 )
 
+// provenRuns is how many runs tell how fast a worker is.
+const provenRuns = 3
+
 // speed is how fast a worker has been against the estimates of the jobs.
 type speed struct {
 	ratio float64
 	count int
 }
 
+// known returns how fast a worker is; 1 while too little is known.
+func (s *speed) known() float64 {
+	if s.count < provenRuns {
+		return 1
+	}
+	return s.ratio
+}
+
 // suits reports whether a worker may run a step by what both say of themselves.
 func suits(step *batch.Step, life *batch.Life) bool {
 	if life.Report().GetPool() != step.Job().Queue().GetPool() {
@@ -44,8 +55,8 @@
 // round is the input of one decision with the handles to read its outcome.
 type round struct {
 	now      time.Duration
+	number   uint64
 	sessions []*session
-	index    map[*batch.Life]int
 	workers  []allocator.Worker
 	steps    []*batch.Step
 	demands  []allocator.Demand
@@ -54,7 +65,9 @@
 
 // decide returns the placements of one round.
 func (f *Foreman) decide(now time.Duration) []*wire.RunPlacement {
-	r := &round{now: now, index: map[*batch.Life]int{}}
+	f.rounds++
+	r := &round{now: now, number: f.rounds, sessions: f.roundSessions[:0], workers: f.roundWorkers[:0]}
+	defer func() { f.roundSessions, f.roundWorkers = r.sessions, r.workers }()
 	f.addDemands(r)
 	if len(r.steps) == 0 {
 		return nil
@@ -142,38 +155,41 @@
 	shares := make([]gathered, 0, len(w.Shares))
 	for _, s := range w.Shares {
 		r.sessions[s.Worker].held = true
-		shares = append(shares, gathered{life: r.sessions[s.Worker].life, count: s.Count})
+		shares = append(shares, gathered{session: r.sessions[s.Worker], count: s.Count})
 	}
 	f.gathering[step] = shares
 }
 
 // gathered is how many members of a gang are going to run on a worker.
 type gathered struct {
-	life  *batch.Life
-	count int
+	session *session
+	count   int
 }
 
 // held returns the room that a gang holds, by the workers of the round.
 func (r *round) held(shares []gathered) []allocator.Share {
 	held := make([]allocator.Share, 0, len(shares))
 	for _, s := range shares {
-		if i, ok := r.index[s.life]; ok {
-			held = append(held, allocator.Share{Worker: i, Count: s.count})
+		if r.has(s.session) {
+			held = append(held, allocator.Share{Worker: s.session.index, Count: s.count})
 		}
 	}
 	return held
 }
 
+// has reports whether the round may place work on a worker.
+func (r *round) has(s *session) bool { return s.round == r.number }
+
 func (f *Foreman) addWorkers(r *round) {
 	for _, s := range f.sessions {
 		if !f.usable(s, r.now) {
 			continue
 		}
-		r.index[s.life] = len(r.sessions)
+		s.round, s.index = r.number, len(r.sessions)
 		r.sessions = append(r.sessions, s)
 		w := allocator.Worker{
 			Room: s.life.Room(), Free: s.life.Free(), Urgent: s.life.Urgent().CPU(), Rack: s.life.Report().GetRack(),
-			Speed:    f.speedOf(s.life.Worker()),
+			Speed:    s.speed.known(),
 			Unproven: s.streak >= provenStreak,
 		}
 		r.workers = append(r.workers, w)
@@ -304,8 +320,11 @@
 	holding := map[int]int{}
 	if step.Spec().GetMostPerWorker() > 0 {
 		for _, t := range step.Tasks() {
-			if t.Life() != nil {
-				holding[r.index[t.Life()]]++
+			if t.Life() == nil {
+				continue
+			}
+			if s := f.present(t.Life()); s != nil && r.has(s) {
+				holding[s.index]++
 			}
 		}
 	}
@@ -318,9 +337,13 @@
 		}
 		return candidates
 	}
-	for life, t := range f.consent(step).granted {
-		if i, ok := r.index[life]; ok {
-			candidates = append(candidates, allocator.Candidate{Worker: i, Allowed: r.now < t.until, Holding: holding[i]})
+	granted := f.consent(step).granted
+	candidates = make([]allocator.Candidate, 0, len(granted))
+	for _, t := range granted {
+		if r.has(t.session) {
+			candidates = append(candidates, allocator.Candidate{
+				Worker: t.session.index, Allowed: r.now < t.until, Holding: holding[t.session.index],
+			})
 		}
 	}
 	return candidates
@@ -414,13 +437,6 @@
 	f.meanWork[queue] = size
 }
 
-func (f *Foreman) speedOf(worker string) float64 {
-	if s := f.speeds[worker]; s != nil && s.count >= 3 {
-		return s.ratio
-	}
-	return 1
-}
-
 // learn takes the lesson of a run's end for the worker: how fast it is, and whether it fails what it starts.
 func (f *Foreman) learn(s *session, t *batch.Task, r *run, outcome courier.Outcome, now time.Duration) {
 	switch outcome {
@@ -450,11 +466,7 @@
 	if estimate <= 0 || ran <= 0 || t.Step().Spec().GetGang() || t.Run() > 1 {
 		return
 	}
-	known := f.speeds[s.life.Worker()]
-	if known == nil {
-		known = &speed{ratio: 1}
-		f.speeds[s.life.Worker()] = known
-	}
+	known := s.speed
 	known.count++
 	weight := max(0.1, 1/float64(known.count+1))
 	ratio := min(2, max(0.4, float64(estimate)/float64(ran)))
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -72,6 +72,10 @@
 	// ordered are the usable workers at orderedAt, those with the most room first.
 	ordered   []*session
 	orderedAt time.Duration
+	// rounds counts the rounds; roundSessions and roundWorkers are the memory that the next one uses again.
+	rounds        uint64
+	roundSessions []*session
+	roundWorkers  []allocator.Worker
 	// shares is the share of asked workers that were granted, by queue.
 	shares map[string]float64
 	// meanWork is the mean work of the jobs of a queue in core-milliseconds.
--- a/controld/internal/foreman/foreman_test.go
+++ b/controld/internal/foreman/foreman_test.go
@@ -471,7 +471,7 @@
 			Id: fmt.Sprintf("%016x", i), Queue: queue, Steps: []*wire.JobStep{{Count: 1, CpuMillis: 20000, EstimateMs: 1000}},
 		}})
 	}
-	r := &round{now: d.now, index: map[*batch.Life]int{}}
+	r := &round{now: d.now, number: 1}
 	d.addDemands(r)
 	require.Len(t, r.demands, mostDemands)
 	priorities := map[int]int{}
--- a/controld/internal/foreman/session.go
+++ b/controld/internal/foreman/session.go
@@ -41,6 +41,11 @@
 	avoidUntil time.Duration
 	// held is set while a gang waits for the worker's room.
 	held bool
+	// speed is shared by all lives of the worker.
+	speed *speed
+	// index is the place of the worker in the round of that number.
+	round uint64
+	index int
 	// drainEnd is when a draining worker may end; 0 when it has not told.
 	drainEnd time.Duration
 }
@@ -102,8 +107,12 @@
 		return s
 	}
 	f.lives++
+	if f.speeds[life.Worker()] == nil {
+		f.speeds[life.Worker()] = &speed{ratio: 1}
+	}
 	s := &session{
-		life: life, token: f.token<<livesBits + f.lives, since: now, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{},
+		speed: f.speeds[life.Worker()],
+		life:  life, token: f.token<<livesBits + f.lives, since: now, heardAt: now, answeredAt: now, runs: map[*batch.Task]*run{},
 	}
 	for t := range life.Tasks() {
 		s.runs[t] = &run{number: t.Run(), inherited: true, unanswered: true, startedAt: now, movedAt: now}
