--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -174,6 +174,9 @@
 	if len(sessions) == 0 || step.Job().Queue().GetConsent() == nil {
 		return 0
 	}
+	if patience == 0 && !f.mostlyIdle(now) {
+		return 0
+	}
 	length := f.callLength(step, len(sessions))
 	name := f.chooseHelper(length, patience, now)
 	if name == "" {
@@ -262,6 +265,20 @@
 	return firstGranted
 }
 
+// idleShare is the share of the helpers that must be idle for a question of a late step.
+const idleShare = 0.5
+
+// mostlyIdle reports whether helpers are idle enough for questions of late steps.
+func (f *Foreman) mostlyIdle(now time.Duration) bool {
+	idle := 0
+	for _, h := range f.helpers {
+		if h.busyUntil <= now {
+			idle++
+		}
+	}
+	return float64(idle) >= idleShare*float64(len(f.helpers))
+}
+
 // chooseHelper returns the helper that is free first; empty when the call would wait for longer than its patience. Some
 // helpers are kept for short calls, so that these never wait behind long ones.
 func (f *Foreman) chooseHelper(length, patience, now time.Duration) string {
--- /dev/null
+++ b/controld/internal/foreman/consent_test.go
@@ -0,0 +1,96 @@
+package foreman
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/core/courier"
+	"flamingodrift.example/core/wire"
+)
+
+// consentDesk returns a desk with many workers, each of 8 cores, and helpers.
+func consentDesk(t *testing.T, workers, helpers int) *desk {
+	t.Helper()
+	names := make([]string, 0, workers)
+	for i := range workers {
+		names = append(names, fmt.Sprintf("w%03d", i))
+	}
+	d := newDesk(t, &wire.ConsentPolicy{CallMs: 400, WorkerMs: 6, ValidMs: 1500}, names...)
+	for i := range helpers {
+		d.Helper(&wire.HelperBeat{Name: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("e%d:1", i)}, d.now)
+	}
+	d.ready()
+	return d
+}
+
+// TestWideGangAsksSeveralCalls guards a wide gang against asking for one call of workers after the other: each takes a
+// second, and its slack is over before it knows enough workers.
+func TestWideGangAsksSeveralCalls(t *testing.T) {
+	d := consentDesk(t, 250, 6)
+	d.submit(&wire.JobStep{Count: 40, CpuMillis: 8000, Gang: true, EstimateMs: 2000})
+	d.turn(0)
+	require.Len(t, d.work.Asks, mostCalls)
+	asked, helpers := map[string]bool{}, map[string]bool{}
+	for _, a := range d.work.Asks {
+		helpers[a.Helper] = true
+		for _, w := range a.Workers {
+			require.False(t, asked[w], "worker %s is asked for twice", w)
+			asked[w] = true
+		}
+	}
+	require.Len(t, helpers, mostCalls, "the calls run side by side")
+}
+
+// TestTicketsOutlastTheWait guards a gang against tickets that end just before its last member has room.
+func TestTicketsOutlastTheWait(t *testing.T) {
+	d := consentDesk(t, 2, 3)
+	d.submit(&wire.JobStep{Count: 2, CpuMillis: 8000, Gang: true, EstimateMs: 2000})
+	d.turn(0)
+	first := d.work.Asks[0]
+	d.work.Asks = nil
+	granted := courier.Consent{Tickets: []courier.Ticket{{Worker: "w000", Ticket: "t"}, {Worker: "w001", Ticket: "t"}}}
+	step := d.batch.Job(job).Steps()[0]
+	d.Consented(first, granted, nil, d.now)
+	ends := d.consent(step).granted[d.batch.Life("w000")].until
+	d.renewTickets(step, allocator.InTime, ends-time.Second)
+	require.Empty(t, d.Take().Asks, "tickets that last are not renewed")
+	d.renewTickets(step, allocator.InTime, ends-d.callLength(step, 2))
+	renewed := d.Take().Asks
+	require.Len(t, renewed, 1)
+	require.Equal(t, []string{"w000", "w001"}, renewed[0].Workers)
+}
+
+// TestLateStepsLeaveHelpersAlone guards work that can still be in time against waiting behind questions for work that
+// cannot: under the worst load these took a fifth of the helpers' time.
+func TestLateStepsLeaveHelpersAlone(t *testing.T) {
+	d := consentDesk(t, 10, 4)
+	d.submit(&wire.JobStep{Count: 2, CpuMillis: 8000, Gang: true, EstimateMs: 2000})
+	step := d.batch.Job(job).Steps()[0]
+	for _, name := range []string{"e0", "e1", "e2"} {
+		d.helpers[name].busyUntil = d.now + time.Second
+	}
+	d.askMore(step, allocator.Late, d.now)
+	require.Empty(t, d.Take().Asks)
+	d.askMore(step, allocator.InTime, d.now)
+	require.Len(t, d.Take().Asks, 1)
+}
+
+// TestHeldWorkersAreAskedLast guards the room that a gang gathers: short work that asks for consent there would be placed
+// there.
+func TestHeldWorkersAreAskedLast(t *testing.T) {
+	d := consentDesk(t, 6, 3)
+	d.submit(&wire.JobStep{Count: 1, CpuMillis: 1000, EstimateMs: 500})
+	step := d.batch.Job(job).Steps()[0]
+	for _, name := range []string{"w000", "w001", "w002"} {
+		d.sessions[name].held = true
+	}
+	var names []string
+	for _, s := range d.newWorkers(step, d.consent(step), 4, d.now) {
+		names = append(names, s.life.Worker())
+	}
+	require.Equal(t, []string{"w003", "w004", "w005", "w000"}, names)
+}
--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -18,8 +18,11 @@
 	// leaderlessWait bounds it once no leader has answered for leaderlessAfter: then an election takes longer than usual.
 	leaderlessWait  = 150 * time.Millisecond
 	leaderlessAfter = time.Second
-	// retryAfter is when a caller may come back while there is no leader.
-	retryAfter = time.Second
+	// retryAfter is when a caller may come back while there is no leader, at the soonest; longestRetry is the latest.
+	retryAfter   = time.Second
+	longestRetry = 4 * time.Second
+	// retryShare is the inverse of the share of a job's expected time after which its caller may come back.
+	retryShare = 2
 	// unknownPause is the pause before a call is repeated whose fate a leader could not tell.
 	unknownPause = 50 * time.Millisecond
 )
@@ -82,10 +85,20 @@
 		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN, Detail: err.Error()}
 	}
 	return &wire.QueueReply{
-		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(), RetryAfterMs: uint32(retryAfter.Milliseconds()),
+		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(), RetryAfterMs: uint32(comeBack(call).Milliseconds()),
 	}
 }
 
+// comeBack returns when a caller may come back while there is no leader. A long job loses little by a longer wait, and its
+// caller does not use up its attempts before an outage of some seconds ends.
+func comeBack(call *wire.QueueCall) time.Duration {
+	var expected time.Duration
+	for _, step := range call.GetSubmit().GetJob().GetSteps() {
+		expected += time.Duration(step.GetEstimateMs()) * time.Millisecond
+	}
+	return min(longestRetry, max(retryAfter, expected/retryShare))
+}
+
 // changes reports whether a call may have an effect.
 func changes(call *wire.QueueCall) bool {
 	switch call.GetBody().(type) {
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -106,3 +106,32 @@
 	reply := caller(t, func(context.Context, *wire.Request) *wire.Reply { return noLeader() }).Call(t.Context(), submit())
 	require.Positive(t, reply.GetRetryAfterMs())
 }
+
+// TestComeBack guards the callers of long jobs against using up their attempts while an outage lasts, and those of short
+// ones against a wait that makes their jobs late.
+func TestComeBack(t *testing.T) {
+	tests := []struct {
+		estimates []uint32
+		after     uint32
+	}{
+		{nil, 1000},
+		{[]uint32{640}, 1000},
+		{[]uint32{4000}, 2000},
+		{[]uint32{4000, 2000}, 3000},
+		{[]uint32{60_000}, 4000},
+	}
+	for _, test := range tests {
+		call := submit()
+		job := &wire.SubmittedJob{}
+		for _, estimate := range test.estimates {
+			job.Steps = append(job.Steps, &wire.JobStep{EstimateMs: estimate})
+		}
+		call.GetSubmit().Job = job
+		c := caller(t, func(context.Context, *wire.Request) *wire.Reply { return noLeader() })
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		reply := c.Call(ctx, call)
+		cancel()
+		require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, reply.GetOutcome())
+		require.Equal(t, test.after, reply.GetRetryAfterMs())
+	}
+}
