Reset and delay connections in the soak; come back soon at first; collector as before

A caller of a long job was told to come back after 2 s also in a change of the leader that takes 1 s.

Change: relay.Reset, relay.SetDelay, harmConnections; the wait that callers are told is at most as long as there was no leader (TestComeBackSoonAtFirst); the collector's rate is the standard one again.

--- a/controld/main.go
+++ b/controld/main.go
@@ -40,9 +40,6 @@
 	// driftPercent bounds the difference in speed of two hosts' clocks.
 	driftPercent = 1
 	stopTimeout  = 5 * time.Second
-	// gcPercent lets the heap grow to three times what is in use, up to the memory limit: a leader of many workers is short
-	// of processor time before it is short of memory.
-	gcPercent = 200
 	// fullDiskPause is how soon a data folder is opened again whose disk was full.
 	fullDiskPause = 500 * time.Millisecond
 )
@@ -105,7 +102,6 @@
 
 func run(file string, cfg *settings.Settings, log *slog.Logger) error {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimitMB) << 20)
-	debug.SetGCPercent(gcPercent)
 	if err := formGroup(cfg); err != nil {
 		return err
 	}
--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -47,7 +47,7 @@
 	for {
 		reply, err := c.leader.Call(ctx, request)
 		if err != nil {
-			return failure(call, err, uncertain)
+			return c.failure(call, err, uncertain)
 		}
 		c.answered.Store(int64(clock.New().Now()))
 		answer := reply.GetQueue()
@@ -62,20 +62,25 @@
 		uncertain = true
 		select {
 		case <-ctx.Done():
-			return failure(call, ctx.Err(), uncertain)
+			return c.failure(call, ctx.Err(), uncertain)
 		case <-time.After(unknownPause):
 		}
 	}
 }
 
+// leaderless returns how long no leader has answered.
+func (c *Caller) leaderless(now time.Duration) time.Duration {
+	return now - time.Duration(c.answered.Load())
+}
+
 func (c *Caller) wait(now time.Duration) time.Duration {
-	if now-time.Duration(c.answered.Load()) > leaderlessAfter {
+	if c.leaderless(now) > leaderlessAfter {
 		return leaderlessWait
 	}
 	return leaderWait
 }
 
-func failure(call *wire.QueueCall, err error, uncertain bool) *wire.QueueReply {
+func (c *Caller) failure(call *wire.QueueCall, err error, uncertain bool) *wire.QueueReply {
 	var refused *locator.RefusedError
 	if errors.As(err, &refused) {
 		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_INVALID, Detail: err.Error()}
@@ -85,18 +90,18 @@
 		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN, Detail: err.Error()}
 	}
 	return &wire.QueueReply{
-		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(), RetryAfterMs: uint32(comeBack(call).Milliseconds()),
+		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(), RetryAfterMs: uint32(comeBack(call, c.leaderless(clock.New().Now())).Milliseconds()),
 	}
 }
 
-// comeBack returns when a caller may come back while there is no leader. A long job loses little by a longer wait, and its
-// caller does not use up its attempts before an outage of some seconds ends.
-func comeBack(call *wire.QueueCall) time.Duration {
+// comeBack returns when a caller may come back after a time without a leader. Most outages are short; in one that lasts, a
+// long job loses little by a longer wait, and its caller does not use up its attempts.
+func comeBack(call *wire.QueueCall, leaderless time.Duration) time.Duration {
 	var expected time.Duration
 	for _, step := range call.GetSubmit().GetJob().GetSteps() {
 		expected += time.Duration(step.GetEstimateMs()) * time.Millisecond
 	}
-	return min(longestRetry, max(retryAfter, expected/retryShare))
+	return max(retryAfter, min(longestRetry, expected/retryShare, leaderless))
 }
 
 // changes reports whether a call may have an effect.
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -135,3 +135,21 @@
 		require.Equal(t, test.after, reply.GetRetryAfterMs())
 	}
 }
+
+// TestComeBackSoonAtFirst guards long jobs against a longer wait than a usual change of the leader takes.
+func TestComeBackSoonAtFirst(t *testing.T) {
+	var gone atomic.Bool
+	c := caller(t, func(context.Context, *wire.Request) *wire.Reply {
+		if gone.Load() {
+			return noLeader()
+		}
+		return replied(wire.QueueOutcome_QUEUE_OUTCOME_OK)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	call := submit()
+	call.GetSubmit().Job = &wire.SubmittedJob{Steps: []*wire.JobStep{{EstimateMs: 60_000}}}
+	require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, c.Call(ctx, call).GetOutcome())
+	gone.Store(true)
+	require.EqualValues(t, 1000, c.Call(ctx, call).GetRetryAfterMs())
+}
--- a/standin/internal/relay/relay.go
+++ b/standin/internal/relay/relay.go
@@ -26,6 +26,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// delay is how long bytes are on their way.
+	delay time.Duration
 	// bytes counts what passed in both directions, by the IP number of the connecting process.
 	bytes map[string]int64
 }
@@ -93,6 +95,7 @@
 			time.Sleep(holdPause)
 		}
 		if n > 0 {
+			time.Sleep(r.wait())
 			r.count(peer, n)
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				break
@@ -122,6 +125,32 @@
 	}
 }
 
+// SetDelay lets bytes take longer from now on.
+func (r *Relay) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+func (r *Relay) wait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
+// Reset resets all present connections at both ends; bytes on their way are lost.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if conn, ok := c.(*net.TCPConn); ok {
+			// Closing without lingering sends a reset.
+			_ = conn.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() error {
 	err := r.listener.Close()
--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -115,8 +115,7 @@
 		}
 		done := make(chan struct{})
 		busy[kind] = done
-		s.report.Faults = append(s.report.Faults, fmt.Sprintf("%.3f s: %s for %v: control-%d, front-%d, worker %d",
-			time.Since(s.began).Seconds(), chosen.name, length, control, front, worker))
+		s.noteFault("%s for %v: control-%d, front-%d, worker %d", chosen.name, length, control, front, worker)
 		go func() {
 			defer close(done)
 			chosen.inject(s, ctx, length, control, front, worker)
@@ -143,6 +142,39 @@
 	}
 }
 
+const (
+	shortestDelay = 5 * time.Millisecond
+	longestDelay  = 150 * time.Millisecond
+)
+
+// harmConnections resets or delays the connections to one control process after the other until the context ends. It runs
+// beside all other faults.
+func (s *Soaker) harmConnections(ctx context.Context) {
+	for ctx.Err() == nil {
+		control := s.harms.IntN(s.cfg.Controls)
+		length := shortestPause + time.Duration(s.harms.Int64N(int64(longestPause-shortestPause)))
+		if reset := s.harms.IntN(2) == 0; reset {
+			s.noteFault("reset connections to control-%d", control)
+			s.relays[control].Reset()
+			pause(ctx, length)
+			continue
+		}
+		delay := shortestDelay + time.Duration(s.harms.Int64N(int64(longestDelay-shortestDelay)))
+		s.noteFault("delay connections to control-%d by %v for %v", control, delay, length)
+		s.relays[control].SetDelay(delay)
+		pause(ctx, length)
+		s.relays[control].SetDelay(0)
+	}
+}
+
+// noteFault adds a fault to the report.
+func (s *Soaker) noteFault(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := fmt.Sprintf("%.3f s: ", time.Since(s.began).Seconds()) + fmt.Sprintf(format, args...)
+	s.report.Faults = append(s.report.Faults, text)
+}
+
 func pause(ctx context.Context, length time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -57,8 +57,10 @@
 
 // Soaker runs one soak.
 type Soaker struct {
-	cfg      Config
-	rand     *rand.Rand
+	cfg  Config
+	rand *rand.Rand
+	// harms draws what happens to connections, so that the draws of other faults stay as they are.
+	harms    *rand.Rand
 	subnet   string
 	began    time.Time
 	controls []*process
@@ -83,7 +85,7 @@
 // New returns a Soaker. Nothing runs yet.
 func New(cfg Config) *Soaker {
 	return &Soaker{
-		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), client: callerclient.New(), cuts: map[[2]string]bool{},
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), harms: rand.New(rand.NewPCG(cfg.Seed, 3)), client: callerclient.New(), cuts: map[[2]string]bool{},
 		accepted: map[string]bool{}, refused: map[string]bool{}, acked: map[uint64]time.Time{},
 	}
 }
@@ -106,7 +108,15 @@
 	loading, stopLoad := context.WithCancel(ctx)
 	s.background(loading, jobPause, s.submit)
 	s.background(loading, configPause, func(ctx context.Context) { s.configure(ctx); s.readConfig(ctx) })
+	harm, endHarm := context.WithCancel(ctx)
+	harmed := make(chan struct{})
+	go func() {
+		defer close(harmed)
+		s.harmConnections(harm)
+	}()
 	s.injectFaults(ctx)
+	endHarm()
+	<-harmed
 	stopLoad()
 	s.heal()
 	s.submits.Wait()
