Bound the orders that a leader has in progress

The log of the first leader stops for 0.67 s right after the workers answered: a new leader calls 350 workers and starts hundreds of runs at once, each call opens a connection, and the control thread waits behind all of them for longer than its lease.

Change: at most 128 calls that are answered at once are in progress; the others keep their order. A renewal that waited for 50 ms acknowledges no ends, because the bound on the age of an acknowledgement counts from when the order was given. Test TestNewLeaderBoundsOrders; without the bound 300 orders are in progress.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -104,6 +104,9 @@
 	tally *tally.Tally
 	// foreman carries out the duties for submitted jobs; nil without queues.
 	foreman *foreman.Foreman
+	// orders wait for their turn, and inProgress counts the calls that are answered at once.
+	orders     []order
+	inProgress int
 	// checkpoints holds when a checkpoint of a stopping attempt was first asked for.
 	checkpoints map[uint64]time.Duration
 	deciding    bool
--- a/controld/internal/controller/event.go
+++ b/controld/internal/controller/event.go
@@ -91,6 +91,9 @@
 	case queueEvent:
 		c.whileLeading(now, e.reply, func() { c.handleQueue(e, now) })
 	case foremanEvent:
+		if e.counted {
+			c.inProgress--
+		}
 		if c.foreman == e.foreman && c.foreman != nil {
 			e.tell(now)
 		}
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -376,3 +376,41 @@
 	})
 	require.Nil(t, g.leader().ctl.findMember(lost.ctl.repl.ID()))
 }
+
+// TestNewLeaderBoundsOrders guards a new leader against calling all workers at once: the new connections kept the control
+// thread from its heartbeats, and leaders changed every second. Seen on fraser-lens-grown, day scale-1.
+func TestNewLeaderBoundsOrders(t *testing.T) {
+	const workers = 300
+	f := newFleet(t, 1, workers)
+	g := newQueueGroup(t, 3, f.config())
+	f.group = g
+	g.insist(configureCall(1))
+	for name := range f.workers {
+		g.insist(workerCall(name))
+	}
+	var waiting []func()
+	for _, node := range g.nodes {
+		node.ctl.async = func(call func()) { waiting = append(waiting, call) }
+	}
+	g.leader().down = true
+	g.runUntil(10*time.Second, "another leader", func() bool { return g.leader() != nil && g.leader().ctl.foreman != nil })
+	leader := g.leader()
+	most := 0
+	for range 3 * workers {
+		most = max(most, leader.ctl.inProgress)
+		if len(waiting) > 0 {
+			call := waiting[0]
+			waiting = waiting[1:]
+			call()
+		}
+		g.run(testTurn)
+	}
+	require.Less(t, most, workers, "the orders for all workers are in progress at a time")
+	known := 0
+	for _, w := range f.workers {
+		if w.token>>30 == leader.ctl.repl.Term() {
+			known++
+		}
+	}
+	require.Equal(t, workers, known, "all workers hear from the new leader")
+}
