Pause before a consent service that is busy is asked again

Cause: since first questions have a path of their own, a step whose question failed was asked again with the next round, which comes within milliseconds. Found by reading the change. Ruled out: a longer pause, which would cost the short kind its slack. Change: askFirst keeps askPause. Test TestBusyServiceIsNotAskedAtOnce, which failed before.

--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -116,7 +116,7 @@
 // askFirst asks for a step for which nothing is known yet. For a wide gang several calls go out at a time.
 func (f *Foreman) askFirst(step *batch.Step, lateness allocator.Lateness, now time.Duration) {
 	c := f.consent(step)
-	if c.calls > 0 || len(c.granted) > 0 {
+	if c.calls > 0 || len(c.granted) > 0 || c.askedAt > 0 && now-c.askedAt < askPause {
 		return
 	}
 	wanted := f.askCount(step)
--- a/controld/internal/foreman/consent_test.go
+++ b/controld/internal/foreman/consent_test.go
@@ -94,3 +94,19 @@
 	}
 	require.Equal(t, []string{"w003", "w004", "w005", "w000"}, names)
 }
+
+// TestBusyServiceIsNotAskedAtOnce guards the outside service, when it has too many calls, against the same question again
+// with each round.
+func TestBusyServiceIsNotAskedAtOnce(t *testing.T) {
+	d := consentDesk(t, 4, 3)
+	d.submit(one())
+	d.turn(0)
+	require.Len(t, d.work.Asks, 1)
+	busy := d.work.Asks[0]
+	d.work.Asks = nil
+	d.Consented(busy, courier.Consent{Busy: true}, nil, d.now)
+	d.turn(askPause / 2)
+	require.Empty(t, d.work.Asks)
+	d.turn(askPause / 2)
+	require.Len(t, d.work.Asks, 1)
+}
