--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -112,12 +112,7 @@
 }
 
 func (r *round) addVacancies(vacancies []vacancy, d *Demand, index int, o offer, reclaim bool) []vacancy {
-	free := r.free[o.candidate.Worker]
-	for _, h := range r.holds[o.candidate.Worker] {
-		if d.Priority >= h.priority {
-			free = free.Sub(h.room)
-		}
-	}
+	free := r.unheld(d, o.candidate.Worker)
 	rest := func(run Run) time.Duration {
 		if r.stopped[run.Handle] || reclaim && reclaimable(d, run) {
 			return min(run.Rest, r.cfg.StopTime)
@@ -151,6 +146,17 @@
 	return r.runs[worker]
 }
 
+// unheld returns the free room of a worker less what other gangs hold, which may be more than is free now.
+func (r *round) unheld(d *Demand, worker int) resource.Vector {
+	free := r.free[worker]
+	for _, h := range r.holds[worker] {
+		if d.Priority >= h.priority {
+			free = free.Sub(h.room)
+		}
+	}
+	return free
+}
+
 func reclaimable(d *Demand, run Run) bool { return run.Reclaimable && run.Priority > d.Priority }
 
 // bestRack keeps the offers of the rack that can hold the gang first; without such a rack it keeps all.
@@ -230,12 +236,7 @@
 
 // stopRuns stops runs on a worker until the needed room is free by a time.
 func (r *round) stopRuns(d *Demand, worker int, needed resource.Vector, by time.Duration) {
-	free := r.free[worker]
-	for _, h := range r.holds[worker] {
-		if d.Priority >= h.priority {
-			free = free.Sub(h.room)
-		}
-	}
+	free := r.unheld(d, worker)
 	runs := r.runsOn(worker)
 	for _, run := range runs {
 		if run.Rest <= by || r.stopped[run.Handle] {
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -115,9 +115,6 @@
 	return runs
 }
 
-// gatherWithin is how soon a gang must be able to start to begin gathering room: by then most of it is there.
-const gatherWithin = time.Second
-
 // seekConsent asks for the steps that wait. A gang keeps its tickets while it is going to start soon, and asks for more
 // workers when it would start too late on those that it has.
 func (f *Foreman) seekConsent(r *round, plan allocator.Plan, now time.Duration) {
@@ -146,37 +143,6 @@
 	}
 }
 
-// gather takes note of where a gang is going to run, once it has begun to gather room.
-func (f *Foreman) gather(r *round, step *batch.Step, d *allocator.Demand, w allocator.Waiting) {
-	if !w.Possible || d.Lateness != allocator.InTime || len(d.Held) == 0 && w.In > gatherWithin {
-		delete(f.gathering, step)
-		return
-	}
-	shares := make([]gathered, 0, len(w.Shares))
-	for _, s := range w.Shares {
-		r.sessions[s.Worker].held = true
-		shares = append(shares, gathered{session: r.sessions[s.Worker], count: s.Count})
-	}
-	f.gathering[step] = shares
-}
-
-// gathered is how many members of a gang are going to run on a worker.
-type gathered struct {
-	session *session
-	count   int
-}
-
-// held returns the room that a gang holds, by the workers of the round.
-func (r *round) held(shares []gathered) []allocator.Share {
-	held := make([]allocator.Share, 0, len(shares))
-	for _, s := range shares {
-		if r.has(s.session) {
-			held = append(held, allocator.Share{Worker: s.session.index, Count: s.count})
-		}
-	}
-	return held
-}
-
 // has reports whether the round may place work on a worker.
 func (r *round) has(s *session) bool { return s.round == r.number }
 
@@ -349,94 +315,6 @@
 	return candidates
 }
 
-// lateFactor is how many objectives a job may take and still be worth something to its caller.
-const lateFactor = 3
-
-// prospect is what a leader knows of a job's time: it is worked out once, when the job is accepted or taken over.
-type prospect struct {
-	acceptedAt time.Duration
-	objective  time.Duration
-	// rests are the lengths of the longest chain of work from each step on.
-	rests []time.Duration
-	// started is set once the job's first run was placed by this leader.
-	started bool
-}
-
-func newProspect(j *batch.Job, now time.Duration) prospect {
-	p := prospect{acceptedAt: now, rests: make([]time.Duration, len(j.Steps()))}
-	var longest time.Duration
-	for number := len(p.rests) - 1; number >= 0; number-- {
-		spec := j.Steps()[number].Spec()
-		p.rests[number] += time.Duration(spec.GetEstimateMs()) * time.Millisecond
-		longest = max(longest, p.rests[number])
-		for _, before := range spec.GetAfter() {
-			p.rests[before] = max(p.rests[before], p.rests[number])
-		}
-	}
-	p.objective = time.Duration(j.Queue().GetStretch()*float64(longest)) +
-		time.Duration(j.Queue().GetAllowanceMs())*time.Millisecond
-	return p
-}
-
-// urgency returns by when a step must start to meet its objective, in milliseconds of this host's clock, and whether that
-// can still be met.
-func (f *Foreman) urgency(step *batch.Step, now time.Duration) (int64, allocator.Lateness) {
-	p := f.prospects[step.Job()]
-	rest := p.rests[step.Number()]
-	slack := p.objective - rest
-	weighted := p.acceptedAt + time.Duration(float64(slack)*f.sizeWeight(step.Job()))
-	switch {
-	case now <= p.acceptedAt+slack:
-		return weighted.Milliseconds(), allocator.InTime
-	case now <= p.acceptedAt+lateFactor*p.objective-rest:
-		return weighted.Milliseconds(), allocator.Late
-	default:
-		return weighted.Milliseconds(), allocator.Overdue
-	}
-}
-
-// latestStart returns by when a step must start to meet its objective.
-func (f *Foreman) latestStart(step *batch.Step) time.Duration {
-	p := f.prospects[step.Job()]
-	return p.acceptedAt + p.objective - p.rests[step.Number()]
-}
-
-const (
-	// leastWeight and mostWeight bound how much the size of a job shifts its turn.
-	leastWeight = 0.4
-	mostWeight  = 2.0
-	// workWeight is the weight of a new job in the mean work of its queue.
-	workWeight = 0.05
-)
-
-// sizeWeight lets small jobs go before large ones of the same queue, and still gives each its turn. It answers a load
-// above the room: served by deadline alone, all jobs would start just too late.
-func (f *Foreman) sizeWeight(j *batch.Job) float64 {
-	mean := f.meanWork[j.Queue().GetName()]
-	if mean <= 0 {
-		return 1
-	}
-	return min(mostWeight, max(leastWeight, float64(work(j.Spec()))/mean))
-}
-
-// work returns the work of a job in core-milliseconds, by its estimates.
-func work(spec *wire.SubmittedJob) int64 {
-	var sum int64
-	for _, step := range spec.GetSteps() {
-		sum += int64(step.GetCount()) * step.GetCpuMillis() * int64(step.GetEstimateMs()) / 1000
-	}
-	return sum
-}
-
-func (f *Foreman) noteWork(j *batch.Job) {
-	queue := j.Queue().GetName()
-	size := float64(work(j.Spec()))
-	if mean, ok := f.meanWork[queue]; ok {
-		size = (1-workWeight)*mean + workWeight*size
-	}
-	f.meanWork[queue] = size
-}
-
 // learn takes the lesson of a run's end for the worker: how fast it is, and whether it fails what it starts.
 func (f *Foreman) learn(s *session, t *batch.Task, r *run, outcome courier.Outcome, now time.Duration) {
 	switch outcome {
--- /dev/null
+++ b/controld/internal/foreman/gather.go
@@ -0,0 +1,42 @@
+package foreman
+
+import (
+	"time"
+
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
+)
+
+// gatherWithin is how soon a gang must be able to start to begin gathering room: by then most of it is there.
+const gatherWithin = time.Second
+
+// gather takes note of where a gang is going to run, once it has begun to gather room.
+func (f *Foreman) gather(r *round, step *batch.Step, d *allocator.Demand, w allocator.Waiting) {
+	if !w.Possible || d.Lateness != allocator.InTime || len(d.Held) == 0 && w.In > gatherWithin {
+		delete(f.gathering, step)
+		return
+	}
+	shares := make([]gathered, 0, len(w.Shares))
+	for _, s := range w.Shares {
+		r.sessions[s.Worker].held = true
+		shares = append(shares, gathered{session: r.sessions[s.Worker], count: s.Count})
+	}
+	f.gathering[step] = shares
+}
+
+// gathered is how many members of a gang are going to run on a worker.
+type gathered struct {
+	session *session
+	count   int
+}
+
+// held returns the room that a gang holds, by the workers of the round.
+func (r *round) held(shares []gathered) []allocator.Share {
+	held := make([]allocator.Share, 0, len(shares))
+	for _, s := range shares {
+		if r.has(s.session) {
+			held = append(held, allocator.Share{Worker: s.session.index, Count: s.count})
+		}
+	}
+	return held
+}
