Count a job whose starts were refused as waiting again

A job became running with its first placement and stayed so when that run was refused or never arrived. Ruled out: an old count (every count is read by the leader from its newest state). Change: a job of which nothing runs, ended, failed or was saved is queued again. Tests TestPendingCountsRefusedStarts, which fails without the change, and three cases of TestPhases. One case said "running" after two runs that were cut short: that was the fault itself; it says "queued" now, and that the job has not failed, as before.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -254,6 +254,9 @@
 	case j.allDone():
 		j.phase = wire.JobPhase_JOB_PHASE_COMPLETED
 		b.finished = append(b.finished, j.ID())
+	case !j.hasBegun():
+		// Its runs were refused, never arrived or left nothing behind: it waits for its first start again.
+		j.phase = wire.JobPhase_JOB_PHASE_QUEUED
 	}
 }
 
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -55,6 +55,25 @@
 // Ended reports whether nothing of the job may be started any more.
 func (j *Job) Ended() bool { return j.phase >= wire.JobPhase_JOB_PHASE_COMPLETED }
 
+// hasBegun reports whether a run of the job may be at work, or an earlier one left something: an end, a failure or a
+// checkpoint.
+func (j *Job) hasBegun() bool {
+	if j.held > 0 {
+		return true
+	}
+	for _, s := range j.steps {
+		if s.done > 0 || s.failedRuns > 0 {
+			return true
+		}
+		for _, t := range s.tasks {
+			if t.failures > 0 || t.checkpoint != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (j *Job) allDone() bool {
 	for _, s := range j.steps {
 		if s.done < len(s.tasks) {
