locator: begin no attempt that the end of the call cuts off

Cause: without a leader a call is tried at 0, 50, 100 and 150 ms, and a call that has been without a leader for a second ends at 150 ms. The last attempt could begin just before that end. It was cut off after it had been sent, so the caller was told that the fate of its job was unknown, though every control process that answered had refused it.

Ruled out: the host's uptime as the start of "without a leader" (a refusal still names a second then), and the length of the job.

Change: another attempt is begun only when 50 ms are left for it.

--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -35,6 +35,9 @@
 const (
 	attemptTimeout = 700 * time.Millisecond
 	retryPause     = 50 * time.Millisecond
+	// shortestAttempt is the time that another attempt needs at least. One that the context's end cuts off leaves the
+	// caller unsure whether the request had an effect; a control process answers within a few milliseconds.
+	shortestAttempt = 50 * time.Millisecond
 	// maxRedirects is how many redirects are followed without a pause.
 	maxRedirects = 3
 )
@@ -99,6 +102,9 @@
 		default:
 			return nil, &RefusedError{Refusal: refusal}
 		}
+		if end, ok := ctx.Deadline(); ok && time.Until(end) < retryPause+shortestAttempt {
+			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
+		}
 		select {
 		case <-ctx.Done():
 			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -107,6 +108,21 @@
 	require.Positive(t, reply.GetRetryAfterMs())
 }
 
+// TestNoLeaderIsCertain guards a caller without a leader against being told that the fate of its job is unknown: the last
+// attempt was cut off by the end of the call when it began just before.
+func TestNoLeaderIsCertain(t *testing.T) {
+	for answerMs := 0; answerMs <= 48; answerMs += 4 {
+		t.Run(fmt.Sprintf("answered after %d ms", answerMs), func(t *testing.T) {
+			t.Parallel()
+			reply := caller(t, func(context.Context, *wire.Request) *wire.Reply {
+				time.Sleep(time.Duration(answerMs) * time.Millisecond)
+				return noLeader()
+			}).Call(t.Context(), submit())
+			require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, reply.GetOutcome())
+		})
+	}
+}
+
 // TestComeBack guards the callers of long jobs against using up their attempts while an outage lasts, and those of short
 // ones against a wait that makes their jobs late.
 func TestComeBack(t *testing.T) {
