controller: a leader whose disk is slower than the others gives way

Cause: the control thread waits for the leader's own sync. With a disk that is 25 to 30 times slower (9 ms to 270 ms) every change, renewal and start waits for it, although a majority has the entry long before.

Ruled out: counting on the followers' copies alone; the thread is held up by the sync itself, not by the commit.

Change: after two syncs in a row that took longer than a heartbeat interval, while the others of a majority answered meanwhile, the leader hands over as it does with a full disk. With all disks slow it stays, and no leader gives way within 3 s of its start.

Test: TestLeaderWithSlowDiskGivesWay (the leader's, a follower's, all disks slow); the first case failed before.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -114,6 +114,8 @@
 	pending     map[string]bool
 	seenAlive   map[string]time.Duration
 	leadingTerm uint64
+	// leadingSince is when the present term of leading began.
+	leadingSince time.Duration
 
 	lastJoin    time.Duration
 	joinAt      int
@@ -121,6 +123,7 @@
 	diskFull    bool
 	diskChecked time.Duration
 	blockedTill time.Duration
+	diskSpeed   diskSpeed
 	// lastSnapshot is the index of the newest snapshot that the journal follows.
 	lastSnapshot    uint64
 	snapshotRetryAt time.Duration
@@ -208,9 +211,9 @@
 			stop = nil
 		case e := <-c.queue:
 			c.handle(e, c.cfg.Clock.Now())
-			c.handleQueued()
 		case <-ticker.C:
 		}
+		c.handleQueued()
 		if err := c.turn(c.cfg.Clock.Now()); err != nil {
 			return err
 		}
@@ -235,6 +238,7 @@
 // turn advances timeouts, proposes what the leader decided, and does what the consensus state machine asks for.
 func (c *Controller) turn(now time.Duration) error {
 	c.checkDisk(now)
+	c.compareDisk()
 	c.repl.Tick(now)
 	c.checkLeadership(now)
 	switch {
@@ -318,7 +322,12 @@
 	if len(ready.Records) == 0 {
 		return nil
 	}
-	return c.cfg.Store.Append(ready.Records)
+	began := c.cfg.Clock.Now()
+	if err := c.cfg.Store.Append(ready.Records); err != nil {
+		return err
+	}
+	c.diskSpeed.synced(c.repl.LastIndex(), c.cfg.Clock.Now()-began > c.cfg.Heartbeat)
+	return nil
 }
 
 func (c *Controller) applyAll(entries []*wire.Entry) error {
--- a/controld/internal/controller/disk.go
+++ b/controld/internal/controller/disk.go
@@ -30,13 +30,59 @@
 	c.repl.SetDiskFull(full)
 }
 
-// giveWay hands leadership to a voter with disk space when this leader has none. Without such a voter it goes on leading:
-// leases and placements still fit into the reserve.
+// giveWay hands leadership to a voter with disk space when this leader has none, or to a faster one. Without such a voter
+// it goes on leading: leases and placements still fit into the reserve.
 func (c *Controller) giveWay(now time.Duration) {
-	if c.diskFull {
-		// The next turn tries again.
-		_, _ = c.repl.HandOver(now)
+	slow := c.diskSpeed.behind >= slowSyncs && now-c.leadingSince >= slowDiskPause
+	if !c.diskFull && !slow {
+		return
+	}
+	// The next turn tries again.
+	successor, err := c.repl.HandOver(now)
+	if err == nil && slow {
+		c.diskSpeed.behind = 0
+		logger.SlowDisk.Log(c.cfg.Logger, "successor", c.memberName(successor), "term", c.leadingTerm)
+	}
+}
+
+const (
+	// slowSyncs is how many syncs in a row must be slow: a single one may be a pause of the whole process.
+	slowSyncs = 2
+	// slowDiskPause is how long a leader leads before it gives way for a slow disk. It bounds the changes of the leader
+	// when every disk is slow.
+	slowDiskPause = 3 * time.Second
+)
+
+// diskSpeed compares this node's disk with those of the others. A sync is slow when it takes longer than a heartbeat
+// interval, as the control thread waits for it.
+type diskSpeed struct {
+	// index is the last entry of the newest slow sync that was not compared yet; 0 when there is none.
+	index uint64
+	// behind counts the slow syncs in a row that others did not need as long for.
+	behind int
+}
+
+func (d *diskSpeed) synced(index uint64, slow bool) {
+	d.index = 0
+	if slow {
+		d.index = index
+	} else {
+		d.behind = 0
+	}
+}
+
+// compareDisk finds out, once the answers that came during a slow sync are handled, whether others had the entries sooner.
+// Only a disk that is slower than the others is a reason to give way.
+func (c *Controller) compareDisk() {
+	if c.diskSpeed.index == 0 {
+		return
+	}
+	if c.repl.WaitsForOwnDisk(c.diskSpeed.index) {
+		c.diskSpeed.behind++
+	} else {
+		c.diskSpeed.behind = 0
 	}
+	c.diskSpeed.index = 0
 }
 
 // reopen forgets what could not be written, by starting again from what is on the disk. Only what sendEarly sent can have
--- a/controld/internal/controller/failure_test.go
+++ b/controld/internal/controller/failure_test.go
@@ -124,6 +124,47 @@
 	require.Equal(t, answer{true, reason.DiskFull.String()}, *a)
 }
 
+// A leader whose disk is slower than the others gives way: every change would wait for that disk, as the control thread
+// does. With all disks slow it stays, since a change of the leader would gain nothing.
+func TestLeaderWithSlowDiskGivesWay(t *testing.T) {
+	tests := []struct {
+		name   string
+		slow   func(node, leader *testNode) bool
+		leaves bool
+	}{
+		{"the leader's disk is slow", func(node, leader *testNode) bool { return node == leader }, true},
+		{"a follower's disk is slow", func(node, leader *testNode) bool { return node != leader }, false},
+		{"all disks are slow", func(*testNode, *testNode) bool { return true }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newQueueGroup(t, 3, newFleet(t, 1, 0).config())
+			leader := g.awaitLeader()
+			g.run(slowDiskPause)
+			require.Equal(t, leader, g.leader())
+			slow := 0
+			for _, node := range g.nodes {
+				if test.slow(node, leader) && (node == leader || slow == 0 || test.slow(leader, leader)) {
+					node.syncTakes, slow = 250*time.Millisecond, slow+1
+				}
+			}
+			for range 20 {
+				if node := g.leader(); node != nil {
+					g.change(node, 10)
+				}
+				g.run(testTurn)
+			}
+			next := g.awaitLeader()
+			require.Equal(t, test.leaves, next != leader)
+			for _, node := range g.nodes {
+				node.syncTakes = 0
+			}
+			g.run(time.Second)
+			require.Equal(t, next, g.leader(), "it leads on")
+		})
+	}
+}
+
 // A follower whose disk fills up in the middle of a snapshot from the leader goes on, and has everything once there is
 // space.
 func TestFullDiskDuringInstall(t *testing.T) {
--- a/controld/internal/controller/group_test.go
+++ b/controld/internal/controller/group_test.go
@@ -61,6 +61,8 @@
 	full  string
 	opens int
 	free  int64
+	// syncTakes is how long a sync of the journal holds up the control thread.
+	syncTakes time.Duration
 	// stopped is the error that ended the control thread.
 	stopped error
 }
@@ -168,6 +170,15 @@
 	return f.File.WriteAt(p, off)
 }
 
+// Sync takes the node's time. Meanwhile the others go on, and what they answer waits in the node's queue.
+func (f *limitedFile) Sync() error {
+	if f.node.syncTakes > 0 && f.node.ctl != nil {
+		f.node.group.now += f.node.syncTakes
+		f.node.group.deliverBeside(f.node)
+	}
+	return f.File.Sync()
+}
+
 // Cast implements Messenger.
 func (n *testNode) Cast(address string, request *wire.Request) {
 	n.group.queue = append(n.group.queue, delivery{address, request.GetPeer()})
@@ -218,6 +229,26 @@
 	}
 }
 
+// deliverBeside delivers the messages to all nodes but a busy one, until only messages to that one are left. It finds
+// those in its queue when it goes on.
+func (g *group) deliverBeside(busy *testNode) {
+	for range 20 {
+		queue := g.queue
+		g.queue = nil
+		for _, d := range queue {
+			node := g.at(d.address)
+			switch {
+			case node == nil || node.down:
+			case node == busy || node.syncTakes > 0:
+				node.ctl.queue <- peerEvent{d.message}
+			default:
+				node.ctl.handle(peerEvent{d.message}, g.now)
+				node.turn()
+			}
+		}
+	}
+}
+
 func (n *testNode) turn() {
 	if n.down {
 		return
--- a/controld/internal/controller/lead.go
+++ b/controld/internal/controller/lead.go
@@ -36,7 +36,8 @@
 	for _, h := range c.cell.Claims().Holders() {
 		holders = append(holders, registrar.Holder{Entry: h.Entry, Boot: h.Boot})
 	}
-	c.leads, c.leadingTerm = true, c.repl.Term()
+	c.leads, c.leadingTerm, c.leadingSince = true, c.repl.Term(), now
+	c.diskSpeed = diskSpeed{}
 	c.reg = registrar.New(c.cfg.Registrar, c.repl.Term(), workers, holders, now)
 	if c.cell.Config().GetRevision() == 0 {
 		// Without a configuration every request is refused.
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -26,6 +26,7 @@
 	JoinRefused       = define(2007, slog.LevelWarn, "request to join the consensus group refused")
 	RemovedFromGroup  = define(2008, slog.LevelError, "this node was removed from the consensus group")
 	MemberReplaced    = define(2009, slog.LevelWarn, "silent voter is replaced by a node that has caught up")
+	SlowDisk          = define(2010, slog.LevelWarn, "leader gives way because its disk is slower than the others")
 	WorkerRegistered  = define(2101, slog.LevelInfo, "worker registered")
 	WorkerLost        = define(2102, slog.LevelWarn, "worker lease ran out; its tasks are placed anew")
 	PollRefused       = define(2103, slog.LevelWarn, "worker poll refused")
--- a/core/replicator/handover.go
+++ b/core/replicator/handover.go
@@ -37,6 +37,22 @@
 // HandingOver reports whether this node leads and gives up leadership, so that it accepts no proposals.
 func (r *Replicator) HandingOver() bool { return r.role == leader && r.successor != "" }
 
+// WaitsForOwnDisk reports whether, of the voters that a commit of an entry needs, only this leader could still lack it:
+// all others of a majority have stored it.
+func (r *Replicator) WaitsForOwnDisk(index uint64) bool {
+	voters, holders := 0, 0
+	for _, m := range r.Membership().GetMembers() {
+		if !m.GetVoter() {
+			continue
+		}
+		voters++
+		if p := r.peers[m.GetId()]; m.GetId() != r.cfg.ID && p != nil && p.match >= index {
+			holders++
+		}
+	}
+	return r.role == leader && holders > 0 && holders >= voters/2
+}
+
 // SetDiskFull says whether this node has space for more entries. A node without space is not chosen by HandOver.
 func (r *Replicator) SetDiskFull(full bool) { r.diskFull = full }
 
