flamingoctl tells of queues and submitted jobs: what runs, what waits and why

Cause: operators of a cell with queues could only read logs and the count of pending jobs; frontd served no operators' API.

Change: frontd serves the operators' API beside its metrics (the console moves to core, with one description of operators for both programs). flamingoctl queues lists each queue with its counts, the longest wait and the steps that wait by reason; status, list, waiting, hosts and why know submitted jobs, their tasks and the workers that take orders. The reasons come from the foreman's last round: an earlier step, consent (how many workers were allowed, refused, asked), room (and when it should be free), a lease that is not over, or work that goes first.

Tests: TestWait and TestStates in foreman, TestQueues, TestWhySubmitted and TestListsNameSubmittedJobs in explainer, the notation in printer, TestOperatorsNeedToken in frontd; the soak asks flamingoctl while it injects faults, and holds its answer against the callers' at the end.

--- a/controld/internal/controller/view.go
+++ b/controld/internal/controller/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"flamingodrift.example/controld/internal/cell"
+	"flamingodrift.example/controld/internal/foreman"
 	"flamingodrift.example/controld/internal/planner"
 	"flamingodrift.example/controld/internal/registrar"
 	"flamingodrift.example/controld/internal/tally"
@@ -21,12 +22,14 @@
 	// Silent holds the ids of members that have not been heard for some seconds.
 	Silent []string
 	Tally  *tally.Tally
+	// Foreman is nil where no jobs are submitted to queues.
+	Foreman *foreman.Foreman
 }
 
 func (c *Controller) view() View {
 	return View{
 		Cell: c.cell, Planner: c.plan, Registrar: c.reg, Membership: c.repl.Membership(),
 		LeaderName: c.cfg.Member.GetName(), DiskFull: c.diskFull,
-		Voters: c.cfg.Voters, Silent: c.silentMembers(c.cfg.Clock.Now()), Tally: c.tally,
+		Voters: c.cfg.Voters, Silent: c.silentMembers(c.cfg.Clock.Now()), Tally: c.tally, Foreman: c.foreman,
 	}
 }
--- a/controld/internal/explainer/explainer.go
+++ b/controld/internal/explainer/explainer.go
@@ -31,8 +31,11 @@
 	Silent     []string
 	LeaderName string
 	DiskFull   bool
-	// Now is the monotonic time of the leader's host.
-	Now time.Duration
+	// Now is the monotonic time of the leader's host, and NowUnixMs its wall clock.
+	Now       time.Duration
+	NowUnixMs int64
+	// Duties is nil where no jobs are submitted to queues.
+	Duties Duties
 }
 
 // at writes a wall-clock time for people.
--- a/controld/internal/explainer/hosts.go
+++ b/controld/internal/explainer/hosts.go
@@ -26,7 +26,7 @@
 
 // Hosts lists control members, entry processes and workers.
 func (e *Explainer) Hosts() []*Host {
-	return append(append(e.controls(), e.entries()...), e.workers()...)
+	return slices.Concat(e.controls(), e.entries(), e.workers(), e.queueWorkers())
 }
 
 func (e *Explainer) controls() []*Host {
--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -37,6 +37,7 @@
 		silent = append(silent, entry.Name)
 	}
 	add(silent, "Entry process %s does not report.", "entry processes do not report: %s.")
+	problems = append(problems, e.queueProblems()...)
 	if s.Workers > 0 && s.Workers == s.LostWorkers+s.HeldWorkers+s.DrainingWorkers {
 		problems = append(problems, "No worker takes new tasks.")
 	}
--- a/controld/internal/explainer/sentences.go
+++ b/controld/internal/explainer/sentences.go
@@ -19,6 +19,8 @@
 	reason.NoWorkers:           "No worker is available; it starts when a worker joins or a drain ends.",
 	reason.NotYetDecided:       "The next round of decisions has not looked at it yet.",
 	reason.RecoveryRateLimited: "Many tasks are placed again after a failure, at a bounded rate; it starts at its turn.",
+	reason.WaitsForStep:        "An earlier step of its job is not done; it starts when that step has ended.",
+	reason.WaitsForConsent:     "The service that decides which workers may run it has not allowed enough of them yet; more are asked for.",
 }
 
 // stopSentences holds, for each reason to stop, why a running task is asked to stop and what follows.
--- a/controld/internal/explainer/status.go
+++ b/controld/internal/explainer/status.go
@@ -91,6 +91,9 @@
 		fmt.Sprintf("Tasks: %d running, %d placed and not yet started, %d waiting.", s.RunningTasks, s.PlacedTasks, s.WaitingTasks),
 		fmt.Sprintf("There are %s, %s and %s.", count(s.Workers-s.LostWorkers, "worker"), countProcesses(s.EntryProcesses),
 			count(s.Targets, "target")))
+	if queues := e.queuesSentence(); queues != "" {
+		lines = append(lines, queues)
+	}
 	if s.DrainingWorkers > 0 {
 		lines = append(lines, fmt.Sprintf("%s %s drained by an operator.", count(s.DrainingWorkers, "worker"), isAre(s.DrainingWorkers)))
 	}
--- a/controld/internal/explainer/tasks.go
+++ b/controld/internal/explainer/tasks.go
@@ -24,7 +24,7 @@
 	Sentence    string `json:"sentence,omitempty"`
 }
 
-// List returns all tasks, in the order in which their rows arrived.
+// List returns all tasks, in the order in which their rows arrived, then the tasks of submitted jobs that are on workers.
 func (e *Explainer) List() []*Task {
 	tasks := []*Task{}
 	for _, j := range e.jobs() {
@@ -32,7 +32,7 @@
 			tasks = append(tasks, e.line(t))
 		}
 	}
-	return tasks
+	return append(tasks, e.submittedTasks()...)
 }
 
 func (e *Explainer) jobs() []*job.Job {
@@ -58,7 +58,7 @@
 	Sentence    string `json:"sentence"`
 }
 
-// Waiting lists the jobs with tasks that wait, in the order in which their rows arrived.
+// Waiting lists the jobs with tasks that wait, in the order in which their rows arrived, then the oldest submitted jobs.
 func (e *Explainer) Waiting() []*WaitingJob {
 	list := []*WaitingJob{}
 	for _, j := range e.jobs() {
@@ -78,7 +78,7 @@
 		w.Sentence = fmt.Sprintf("%s since %s. %s", waitPhrase(j), at(w.SinceUnixMs), e.whyWaiting(j))
 		list = append(list, w)
 	}
-	return list
+	return append(list, e.waitingJobs()...)
 }
 
 func waitPhrase(j *job.Job) string {
--- a/controld/internal/explainer/why.go
+++ b/controld/internal/explainer/why.go
@@ -9,16 +9,16 @@
 // Answer explains what one name stands for.
 type Answer struct {
 	Name string `json:"name"`
-	// Kind is job, task, finished_run, worker, target, entry or control.
+	// Kind is job, task, finished_run, submitted_job, worker, target, entry or control.
 	Kind      string   `json:"kind"`
 	Sentences []string `json:"sentences"`
 	Tasks     []*Task  `json:"tasks"`
 }
 
-// Why explains a job by its key or id, a task, a worker, a target, an entry process or a control member. It returns nil
+// Why explains a job by its key or id, a task, a submitted job, a worker, a target, an entry process or a control member. It returns nil
 // when the cell knows nothing by that name.
 func (e *Explainer) Why(name string) *Answer {
-	for _, find := range []func(string) *Answer{e.whyJob, e.whyFinishedRun, e.whyWorker, e.whyHost} {
+	for _, find := range []func(string) *Answer{e.whyJob, e.whyFinishedRun, e.whySubmitted, e.whyWorker, e.whyQueueWorker, e.whyHost} {
 		if answer := find(name); answer != nil {
 			return answer
 		}
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -69,10 +69,12 @@
 	r := &round{now: now, number: f.rounds, sessions: f.roundSessions[:0], workers: f.roundWorkers[:0]}
 	defer func() { f.roundSessions, f.roundWorkers = r.sessions, r.workers }()
 	f.addDemands(r)
+	f.last = outcome{steps: r.steps}
 	if len(r.steps) == 0 {
 		return nil
 	}
 	plan := f.alloc.Decide(r.workers, r.demands, func(worker int) []allocator.Run { return f.runsOf(r, worker) })
+	f.last.waiting = plan.Waiting
 	f.restUntil = now + time.Duration(len(r.steps))*restPerStep + time.Duration(len(plan.Waiting))*restPerPlan
 	for _, handle := range plan.Preempt {
 		t := r.runs[handle]
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -76,6 +76,8 @@
 	rounds        uint64
 	roundSessions []*session
 	roundWorkers  []allocator.Worker
+	// last is what the last round decided.
+	last outcome
 	// shares is the share of asked workers that were granted, by queue.
 	shares map[string]float64
 	// meanWork is the mean work of the jobs of a queue in core-milliseconds.
--- /dev/null
+++ b/controld/internal/foreman/wait.go
@@ -0,0 +1,176 @@
+package foreman
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/reason"
+)
+
+// Wait says why tasks of a step have no run.
+type Wait struct {
+	Reason reason.Reason
+	// Detail is a sentence with what is known beyond the reason; it may be empty.
+	Detail string
+	// Late is set when the job can no longer meet its objective. Work that can meet its own comes first.
+	Late bool
+}
+
+// outcome is what the last round decided, for those who ask why work waits.
+type outcome struct {
+	steps   []*batch.Step
+	waiting []allocator.Waiting
+}
+
+// Wait returns why tasks of a step that is not done have no run.
+func (f *Foreman) Wait(step *batch.Step, now time.Duration) Wait {
+	_, lateness := f.urgency(step, now)
+	w := Wait{Late: lateness != allocator.InTime}
+	w.Reason, w.Detail = f.waitReason(step, now)
+	return w
+}
+
+func (f *Foreman) waitReason(step *batch.Step, now time.Duration) (why reason.Reason, detail string) {
+	switch {
+	case !step.Ready():
+		return reason.WaitsForStep, ""
+	case step.Spec().GetGang() && step.Held() > 0:
+		return reason.StopInProgress, ""
+	}
+	if why := f.missingWorker(step, now); why != reason.None {
+		return why, ""
+	}
+	if len(f.waitingTasks(step, now)) == 0 {
+		return reason.LeaseNotOver, ""
+	}
+	if why, detail := f.missingConsent(step, now); why != reason.None {
+		return why, detail
+	}
+	index := slices.Index(f.last.steps, step)
+	if index < 0 {
+		return reason.BehindOthers, ""
+	}
+	if !step.Spec().GetGang() {
+		return reason.NoCapacity, ""
+	}
+	for _, planned := range f.last.waiting {
+		if planned.Demand != index || !planned.Possible || planned.In == 0 {
+			continue
+		}
+		workers := "1 worker"
+		if len(planned.Shares) > 1 {
+			workers = fmt.Sprintf("%d workers", len(planned.Shares))
+		}
+		detail = fmt.Sprintf("By what runs now there should be room on %s in %.1f s.", workers, planned.In.Seconds())
+		if len(f.gathering[step]) > 0 {
+			detail += " That room is kept for it."
+		}
+	}
+	return reason.WaitsForAll, detail
+}
+
+// missingWorker returns why no worker could run a step, whatever runs now; None when one could.
+func (f *Foreman) missingWorker(step *batch.Step, now time.Duration) reason.Reason {
+	suited := false
+	for _, s := range f.sessions {
+		if !f.usable(s, now) || !suits(step, s.life) {
+			continue
+		}
+		suited = true
+		if step.Need().FitsIn(s.life.Room()) {
+			return reason.None
+		}
+	}
+	if suited {
+		return reason.ExceedsLargest
+	}
+	return reason.NoWorkers
+}
+
+// missingConsent returns whether a step waits for the outside service, and what is known of its answers.
+func (f *Foreman) missingConsent(step *batch.Step, now time.Duration) (why reason.Reason, detail string) {
+	if step.Job().Queue().GetConsent() == nil {
+		return reason.None, ""
+	}
+	c := f.consents[step]
+	if c == nil {
+		return reason.WaitsForConsent, "It has not been asked yet."
+	}
+	room := int64(0)
+	for life, t := range c.granted {
+		if s := f.present(life); s != nil && f.usable(s, now) && now < t.until {
+			room += step.Need().Count(life.Room())
+		}
+	}
+	if room >= int64(step.Waiting()) || room > 0 && !step.Spec().GetGang() {
+		return reason.None, ""
+	}
+	return reason.WaitsForConsent, fmt.Sprintf("It has allowed %d workers and refused %d; it is asked for %d now.",
+		len(c.granted), len(c.denied), len(c.pending))
+}
+
+// Known returns how long this leader has known a job; the job may be older.
+func (f *Foreman) Known(j *batch.Job, now time.Duration) time.Duration {
+	return now - max(f.prospects[j].acceptedAt, f.since)
+}
+
+// RunState is what a leader knows of a run.
+type RunState struct {
+	// Age is how long the leader has known the run.
+	Age time.Duration
+	// Confirmed is set once the worker said that it has the run, and Stopping once it was asked to stop it.
+	Confirmed, Stopping bool
+}
+
+// RunState returns what is known of a task's present run.
+func (f *Foreman) RunState(t *batch.Task, now time.Duration) RunState {
+	if t.Life() == nil {
+		return RunState{}
+	}
+	s := f.present(t.Life())
+	if s == nil || s.runs[t] == nil {
+		return RunState{}
+	}
+	r := s.runs[t]
+	return RunState{Age: now - r.startedAt, Confirmed: r.confirmed, Stopping: r.stopping || r.ending}
+}
+
+// WorkerState is what a leader thinks of a worker.
+type WorkerState int
+
+// Kinds of WorkerState. Only a WorkerReady gets new runs.
+const (
+	WorkerReady WorkerState = iota
+	// WorkerUnheard has not answered this leader yet.
+	WorkerUnheard
+	// WorkerSilent does not answer.
+	WorkerSilent
+	// WorkerDraining leaves.
+	WorkerDraining
+	// WorkerPaused failed its last runs.
+	WorkerPaused
+	// WorkerStray has runs that the log does not hold there.
+	WorkerStray
+)
+
+// WorkerState returns whether a worker gets new runs, or why not.
+func (f *Foreman) WorkerState(life *batch.Life, now time.Duration) WorkerState {
+	s := f.present(life)
+	switch {
+	case s == nil || !s.known && !s.failing:
+		return WorkerUnheard
+	case life.Draining():
+		return WorkerDraining
+	case s.failing || now-s.answeredAt >= f.cfg.Wait+f.cfg.AnswerTimeout:
+		return WorkerSilent
+	case now < s.avoidUntil:
+		return WorkerPaused
+	case len(s.strays) > 0:
+		return WorkerStray
+	default:
+		return WorkerReady
+	}
+}
--- a/controld/internal/server/operate.go
+++ b/controld/internal/server/operate.go
@@ -103,11 +103,15 @@
 func (s *Server) query(ctx context.Context, read func(*explainer.Explainer) (int, any)) *wire.Reply {
 	status, answer := 0, any(nil)
 	refusal := s.controller.Query(ctx, func(now time.Duration, view controller.View) {
-		status, answer = read(&explainer.Explainer{
+		e := &explainer.Explainer{
 			Cell: view.Cell, Planner: view.Planner, Registrar: view.Registrar, Membership: view.Membership,
 			LeaderName: view.LeaderName, DiskFull: view.DiskFull, Now: now, Voters: view.Voters, Silent: view.Silent,
-			Tally: view.Tally,
-		})
+			Tally: view.Tally, NowUnixMs: time.Now().UnixMilli(),
+		}
+		if view.Foreman != nil {
+			e.Duties = view.Foreman
+		}
+		status, answer = read(e)
 	})
 	if refusal != nil {
 		return refuse(refusal)
--- a/controld/internal/server/queries.go
+++ b/controld/internal/server/queries.go
@@ -15,6 +15,7 @@
 	"status":  func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Status() },
 	"list":    func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.List() },
 	"waiting": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Waiting() },
+	"queues":  func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Queues() },
 	"hosts":   func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Hosts() },
 	"targets": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.Targets() },
 	"history": func(e *explainer.Explainer, _ *changeBody) (int, any) { return http.StatusOK, e.History() },
@@ -27,7 +28,7 @@
 		return http.StatusOK, answer
 	}
 	return http.StatusNotFound, &Problem{Reason: reason.NotFound.String(), Detail: fmt.Sprintf(
-		"the cell knows no job, task, worker, target, entry process or control member %q; a run that left the sheet is found by KEY@RUN",
+		"the cell knows no job, task, submitted job, worker, target, entry process or control member %q; a run that left the sheet is found by KEY@RUN",
 		body.Key)}
 }
 
--- a/entryd/internal/console/console.go
+++ b/core/console/console.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"io"
@@ -12,8 +11,8 @@
 	"time"
 
 	"flamingodrift.example/core/locator"
-
 	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/operator"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
@@ -27,15 +26,10 @@
 	answerTimeout = 5 * time.Second
 )
 
-// Operator may use the API.
-type Operator struct {
-	Name, Token string
-}
-
 // Config holds what a Console needs.
 type Config struct {
 	Locator   *locator.Locator
-	Operators []Operator
+	Operators []operator.Operator
 	Meter     *meter.Meter
 }
 
@@ -49,7 +43,7 @@
 
 // ServeHTTP passes one request on.
 func (c *Console) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	operator, ok := c.authenticate(r)
+	name, ok := operator.Find(c.cfg.Operators, strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
 	if !ok {
 		c.refuse(w, http.StatusUnauthorized, reason.Unauthorized, "a bearer token of an operator is needed")
 		return
@@ -62,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
 	defer cancel()
 	reply, err := c.cfg.Locator.Call(ctx, &wire.Request{Body: &wire.Request_Operate{Operate: &wire.OperateRequest{
-		Operator: operator, Action: strings.TrimPrefix(r.URL.Path, Prefix), Body: body,
+		Operator: name, Action: strings.TrimPrefix(r.URL.Path, Prefix), Body: body,
 	}}})
 	var refused *locator.RefusedError
 	switch {
@@ -79,17 +73,6 @@
 	}
 }
 
-// authenticate compares the token with that of every operator, in constant time.
-func (c *Console) authenticate(r *http.Request) (name string, ok bool) {
-	token := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-	for _, o := range c.cfg.Operators {
-		if subtle.ConstantTimeCompare([]byte(token), []byte(o.Token)) == 1 {
-			name, ok = o.Name, true
-		}
-	}
-	return name, ok
-}
-
 func (c *Console) refuse(w http.ResponseWriter, status int, why reason.Reason, detail string) {
 	c.cfg.Meter.Refused(why)
 	w.Header().Set("Content-Type", "application/json")
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -23,6 +23,8 @@
 	NoWorkers           Reason = "no_workers"
 	NotYetDecided       Reason = "not_yet_decided"
 	RecoveryRateLimited Reason = "recovery_rate_limited"
+	WaitsForStep        Reason = "waits_for_earlier_step"
+	WaitsForConsent     Reason = "waits_for_consent"
 )
 
 // Reasons why a request or a change was refused or retried.
--- a/core/reason/sets.go
+++ b/core/reason/sets.go
@@ -5,6 +5,7 @@
 	return []Reason{
 		NoCapacity, QuotaReached, ExceedsLargest, ExceedsQuota, ExceedsCell, WaitsForAll, BehindOthers, BehindReservation,
 		SpreadUnsatisfied, JobHeld, StopInProgress, LeaseNotOver, NoWorkers, NotYetDecided, RecoveryRateLimited,
+		WaitsForStep, WaitsForConsent,
 	}
 }
 
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -13,9 +13,9 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"flamingodrift.example/core/console"
 	"flamingodrift.example/core/locator"
 	"flamingodrift.example/entryd/internal/claimer"
-	"flamingodrift.example/entryd/internal/console"
 	"flamingodrift.example/entryd/internal/dispatcher"
 	"flamingodrift.example/entryd/internal/gateway"
 	"flamingodrift.example/entryd/internal/limiter"
@@ -77,13 +77,9 @@
 		Control: d.steward, Dispatcher: d.dispatcher, Retrier: retrier.New(), Peers: d.messenger, Clock: d.clock,
 		Claimer: d.claimer, Meter: counters, Logger: log,
 	})
-	operators := make([]console.Operator, 0, len(cfg.Operators))
-	for _, o := range cfg.Operators {
-		operators = append(operators, console.Operator{Name: o.Name, Token: o.Token})
-	}
 	d.http = newHTTP(cfg.HTTPAddress, limit)
 	d.http.HandlePrefix(gateway.Prefix, d.gateway)
-	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: operators, Meter: counters}))
+	d.http.HandlePrefix(console.Prefix, console.New(console.Config{Locator: leader, Operators: cfg.Operators, Meter: counters}))
 	d.http.HandlePrefix("/platform/v1/targets/announce", targets)
 	d.http.HandlePrefix("/platform/v1/workers/poll", poller.New(poller.Config{
 		Leader: leader, Entry: cfg.Name, Batch: loader.Milliseconds(cfg.PollBatchMs), Timeout: loader.Milliseconds(cfg.PollTimeoutMs),
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -6,6 +6,7 @@
 
 	"flamingodrift.example/core/checker"
 	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/operator"
 )
 
 // Settings is the settings file. Durations are in milliseconds.
@@ -19,10 +20,10 @@
 	// HTTPAddress serves callers, workers, targets and operators.
 	HTTPAddress string `json:"http_address"`
 	// Controls are the addresses of all controld processes of the cell.
-	Controls  []string   `json:"controls"`
-	CellToken string     `json:"cell_token" secret:"true"`
-	Operators []Operator `json:"operators"`
-	BeatMs    int        `json:"beat_ms"`
+	Controls  []string            `json:"controls"`
+	CellToken string              `json:"cell_token" secret:"true"`
+	Operators []operator.Operator `json:"operators"`
+	BeatMs    int                 `json:"beat_ms"`
 	// CurrencyMs is how long a configuration counts as current after it was confirmed.
 	CurrencyMs    int `json:"currency_ms"`
 	PollBatchMs   int `json:"poll_batch_ms"`
@@ -35,12 +36,6 @@
 	MemoryLimitMB  int `json:"memory_limit_mb"`
 }
 
-// Operator may use the operators' API.
-type Operator struct {
-	Name  string `json:"name"`
-	Token string `json:"token" secret:"true"`
-}
-
 func (s *Settings) numbers() []checker.Number {
 	return []checker.Number{
 		{Path: "beat_ms", Value: &s.BeatMs, Standard: 1_000, Lowest: 20, Highest: 5_000},
@@ -74,23 +69,6 @@
 	if len(s.Controls) == 0 {
 		c.Fail("controls", "", "at least one address")
 	}
-	s.checkOperators(c)
+	operator.Check(c, s.Operators)
 	return c.Problems()
 }
-
-// checkOperators refuses equal tokens: the history must name the operator who made a change.
-func (s *Settings) checkOperators(c *checker.Checker) {
-	names, tokens := map[string]bool{}, map[string]bool{}
-	for i, o := range s.Operators {
-		path := fmt.Sprintf("operators[%d]", i)
-		c.Text(path+".name", o.Name)
-		c.Token(path+".token", o.Token)
-		if names[o.Name] {
-			c.Fail(path+".name", o.Name, "a name that is used once")
-		}
-		if tokens[o.Token] {
-			c.Fail(path+".token", loader.Hidden, "a token that is used once")
-		}
-		names[o.Name], tokens[o.Token] = true, true
-	}
-}
--- a/flamingoctl/arguments.go
+++ b/flamingoctl/arguments.go
@@ -3,7 +3,7 @@
 type noArguments struct{}
 
 type keyArgument struct {
-	Key string `arg:"positional,required" help:"key of a row, KEY@RUN, or a task, worker, target, entry process or control member"`
+	Key string `arg:"positional,required" help:"key of a row, KEY@RUN, or a task, submitted job, worker, target, entry process or control member"`
 }
 
 type cancelArgument struct {
@@ -49,7 +49,8 @@
 	Status    *noArguments      `arg:"subcommand:status" help:"say whether everything is in order; problems come first"`
 	List      *noArguments      `arg:"subcommand:list" help:"list all tasks"`
 	Waiting   *noArguments      `arg:"subcommand:waiting" help:"list the jobs that wait, for what, and since when"`
-	Why       *keyArgument      `arg:"subcommand:why" help:"explain a row, a task, a worker or a target"`
+	Why       *keyArgument      `arg:"subcommand:why" help:"explain a row, a task, a submitted job, a worker or a target"`
+	Queues    *noArguments      `arg:"subcommand:queues" help:"list the queues: what waits, what runs and for how long"`
 	Hosts     *noArguments      `arg:"subcommand:hosts" help:"list control members, entry processes and workers"`
 	Targets   *noArguments      `arg:"subcommand:targets" help:"list the targets and who owns them"`
 	History   *noArguments      `arg:"subcommand:history" help:"list the accepted changes"`
--- a/flamingoctl/internal/printer/printer.go
+++ b/flamingoctl/internal/printer/printer.go
@@ -3,9 +3,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -48,6 +51,16 @@
 		{title: "SINCE", field: "since_unix_ms", format: unixMs},
 		{title: "WHY", field: "sentence"},
 	},
+	"queues": {
+		{title: "QUEUE", field: "queue"},
+		{title: "PRIORITY", field: "priority"},
+		{title: "WAITING", field: "waiting_jobs"},
+		{title: "BEGUN", field: "running_jobs"},
+		{title: "ON WORKERS", field: "running_tasks"},
+		{title: "LATE", field: "late_jobs"},
+		{title: "WHY", field: "reasons", format: counts},
+		{title: "NOTE", field: "sentence"},
+	},
 	"targets": {
 		{title: "TARGET", field: "name"},
 		{title: "SERVICE", field: "service"},
@@ -73,6 +86,24 @@
 	},
 }
 
+// counts writes a map of numbers, the largest first.
+func counts(value any) string {
+	object, _ := value.(map[string]any)
+	names := slices.Collect(maps.Keys(object))
+	number := func(name string) int64 {
+		n, _ := object[name].(json.Number).Int64()
+		return n
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(number(b), number(a)), cmp.Compare(a, b)) })
+	for i, name := range names {
+		names[i] = fmt.Sprintf("%s %d", name, number(name))
+	}
+	if len(names) == 0 {
+		return "-"
+	}
+	return strings.Join(names, ", ")
+}
+
 func unixMs(value any) string {
 	n, err := value.(json.Number).Int64()
 	if err != nil {
--- a/frontd/daemon.go
+++ b/frontd/daemon.go
@@ -13,6 +13,7 @@
 
 	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/consentserver"
+	"flamingodrift.example/core/console"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/locator"
 	"flamingodrift.example/core/logger"
@@ -71,6 +72,7 @@
 	ready.HandlePrefix("/", http.HandlerFunc(d.ready))
 	metrics := newServer(cfg.MetricsAddress)
 	metrics.HandlePrefix("/metrics", counters.Handler())
+	metrics.HandlePrefix(console.Prefix, console.New(console.Config{Locator: d.leader, Operators: cfg.Operators, Meter: counters}))
 	d.servers = []*khttp.Server{callers, ready, metrics}
 	if d.listener, err = net.Listen("tcp", cfg.Address); err != nil {
 		return nil, oops.In("messenger").With("address", cfg.Address).Wrapf(err, "listen")
--- a/frontd/daemon_test.go
+++ b/frontd/daemon_test.go
@@ -1,16 +1,19 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"flamingodrift.example/core/console"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/frontd/internal/settings"
 )
@@ -27,7 +30,8 @@
 	t.Helper()
 	cfg := &settings.Settings{}
 	text := fmt.Sprintf(`{"name": "f", "address": %q, "caller_address": %q, "ready_address": %q, "metrics_address": %q,
-		"seeds": ["127.0.0.1:9"], "cell_token": "0123456789abcdef"}`,
+		"seeds": ["127.0.0.1:9"], "cell_token": "0123456789abcdef",
+		"operators": [{"name": "anna", "token": "token-of-an-operator"}]}`,
 		freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
 	require.NoError(t, loader.Parse("f.json", []byte(text), cfg))
 	d, err := assemble(cfg, slog.New(slog.DiscardHandler))
@@ -63,3 +67,22 @@
 	require.Equal(t, http.StatusOK, call().Code)
 	require.Equal(t, "close", call().Header().Get("Connection"))
 }
+
+// TestOperatorsNeedToken guards the operators' API against callers without a token, and that it is served beside the
+// metrics, where callers do not come.
+func TestOperatorsNeedToken(t *testing.T) {
+	d := newTestDaemon(t)
+	ask := func(server http.Handler, token string) int {
+		request := httptest.NewRequest(http.MethodPost, console.Prefix+"queues", strings.NewReader("{}"))
+		request.Header.Set("Authorization", "Bearer "+token)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		recorder := httptest.NewRecorder()
+		server.ServeHTTP(recorder, request.WithContext(ctx))
+		return recorder.Code
+	}
+	callers, metrics := d.servers[0], d.servers[2]
+	require.Equal(t, http.StatusUnauthorized, ask(metrics, "another-operator-token"))
+	require.Equal(t, http.StatusServiceUnavailable, ask(metrics, "token-of-an-operator"), "there is no leader")
+	require.NotEqual(t, http.StatusUnauthorized, ask(callers, "another-operator-token"), "it is a path like any other there")
+}
--- a/frontd/internal/settings/settings.go
+++ b/frontd/internal/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"flamingodrift.example/core/checker"
 	"flamingodrift.example/core/loader"
+	"flamingodrift.example/core/operator"
 )
 
 // Settings is the settings file. Durations are in milliseconds.
@@ -15,8 +16,10 @@
 	// CallerAddress takes the requests of callers, and ReadyAddress the balancer's checks.
 	CallerAddress string `json:"caller_address"`
 	ReadyAddress  string `json:"ready_address"`
-	// MetricsAddress serves /metrics.
+	// MetricsAddress serves /metrics and operators.
 	MetricsAddress string `json:"metrics_address"`
+	// Operators may ask what runs, what waits and why; without one nobody may.
+	Operators []operator.Operator `json:"operators"`
 	// Seeds are addresses on hosts of control processes; their own port is that of Address.
 	Seeds []string `json:"seeds"`
 	// CellToken is shared by the cell's own processes.
@@ -49,6 +52,7 @@
 	if len(s.Seeds) == 0 {
 		c.Fail("seeds", "", "at least one address")
 	}
+	operator.Check(c, s.Operators)
 	if s.ConsentAddress != "" {
 		c.Reachable("consent_address", s.ConsentAddress)
 	}
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -107,6 +107,7 @@
 	}
 	loading, stopLoad := context.WithCancel(ctx)
 	s.background(loading, jobPause, s.submit)
+	s.background(loading, operatorPause, func(ctx context.Context) { s.askQueues(ctx) })
 	s.background(loading, configPause, func(ctx context.Context) { s.configure(ctx); s.readConfig(ctx) })
 	harm, endHarm := context.WithCancel(ctx)
 	harmed := make(chan struct{})
@@ -164,8 +165,9 @@
 			name: fmt.Sprintf("front-%d", i), program: "frontd", programs: s.cfg.Programs, folder: s.cfg.Folder,
 			settings: map[string]any{
 				"name": fmt.Sprintf("front-%d", i), "address": fmt.Sprintf("%s:%d", ip, relayPort),
-				"caller_address": s.front(i), "ready_address": ip + ":7202", "metrics_address": ip + ":7203", "seeds": seeds,
+				"caller_address": s.front(i), "ready_address": ip + ":7202", "metrics_address": s.metrics(i), "seeds": seeds,
 				"cell_token": "token-of-the-soak", "notice_ms": 300, "consent_address": s.consentAddress(),
+				"operators": []any{map[string]any{"name": "soak", "token": operatorToken}},
 			},
 		})
 	}
@@ -414,5 +416,8 @@
 	for id := range open {
 		s.violate("accepted job %s is not completed", id)
 	}
+	if len(open) == 0 {
+		s.checkQueuesEmpty(ctx)
+	}
 	s.readConfig(ctx)
 }
