foreman: gangs take less of the outside service's time, late ones start on idle workers

Ruled out: lost answers (each question had one), an unsettled earlier run, failed workers, too little room.

Tests: TestGangKeepsTheTicketsItNeeds, TestLateGangStopsAsking, TestLateStepsAskWhileRoomIsFree.

--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -121,7 +121,7 @@
 	}
 	wanted := f.askCount(step)
 	for c.calls < mostCalls && wanted > 0 {
-		asked := f.ask(step, f.newWorkers(step, c, min(wanted, mostAsked), now), patience(lateness, mostWaiting), now)
+		asked := f.ask(step, f.newWorkers(step, c, min(wanted, mostAsked), now), f.patience(lateness, mostWaiting), now)
 		if asked == 0 {
 			return
 		}
@@ -135,30 +135,76 @@
 	if c.calls > 0 || now-c.askedAt < askPause {
 		return
 	}
-	f.ask(step, f.newWorkers(step, c, min(f.askCount(step), mostAsked), now), patience(lateness, moreWaiting), now)
+	f.ask(step, f.newWorkers(step, c, min(f.askCount(step), mostAsked), now), f.patience(lateness, moreWaiting), now)
 }
 
-// renewTickets asks again for the granted workers whose tickets end before an answer could come.
-func (f *Foreman) renewTickets(step *batch.Step, lateness allocator.Lateness, now time.Duration) {
+// lateCover is how many times over a late gang should fit on the workers that were granted to it, were they idle: it starts
+// when enough of them are, and more questions would delay those of gangs that can still be in time.
+const lateCover = 4
+
+// wellCovered reports whether the workers granted to a gang have much more room than it needs.
+func (f *Foreman) wellCovered(step *batch.Step) bool {
+	room := int64(0)
+	for life := range f.consent(step).granted {
+		room += step.Need().Count(life.Room())
+	}
+	return room >= int64(lateCover*step.Waiting())
+}
+
+// renewTickets asks again for the granted workers whose tickets end before an answer could come: for those that hold the
+// waiting tasks by the plan, and for some more.
+func (f *Foreman) renewTickets(step *batch.Step, lateness allocator.Lateness, shares []gathered, now time.Duration) {
 	c := f.consent(step)
-	ahead := f.callLength(step, len(c.granted))
+	kept := f.keptTickets(step, shares, now)
+	ahead := f.callLength(step, len(kept))
 	var ending []*session
-	for life, t := range c.granted {
-		s := f.present(life)
-		if s != nil && f.usable(s, now) && !c.pending[life.Worker()] && now >= t.until-ahead {
+	for _, s := range kept {
+		if !c.pending[s.life.Worker()] && now >= c.granted[s.life].until-ahead {
 			ending = append(ending, s)
 		}
 	}
 	if len(ending) == 0 || c.calls > 0 && now-c.askedAt < askPause {
 		return
 	}
-	slices.SortFunc(ending, func(a, b *session) int { return cmp.Compare(a.life.Worker(), b.life.Worker()) })
-	f.ask(step, ending[:min(len(ending), mostAsked)], patience(lateness, mostWaiting), now)
+	f.ask(step, ending[:min(len(ending), mostAsked)], f.patience(lateness, mostWaiting), now)
+}
+
+// ticketCover is how many times over a step's tasks should fit on the workers whose tickets are kept. The room for one more
+// set answers runs that end later than expected. More would take the outside service's time from other steps: it judges
+// workers one by one.
+const ticketCover = 2
+
+// keptTickets returns the granted workers whose tickets a step should keep: those of its planned start, then those with the
+// most room.
+func (f *Foreman) keptTickets(step *batch.Step, shares []gathered, now time.Duration) []*session {
+	needed := ticketCover * step.Waiting()
+	planned := map[*session]int{}
+	for _, s := range shares {
+		planned[s.session] = s.count
+	}
+	var usable []*session
+	for _, t := range f.consent(step).granted {
+		if f.present(t.session.life) == t.session && f.usable(t.session, now) {
+			usable = append(usable, t.session)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *session) int {
+		return cmp.Or(cmp.Compare(planned[b], planned[a]), cmp.Compare(b.life.Free().CPU(), a.life.Free().CPU()),
+			cmp.Compare(a.life.Worker(), b.life.Worker()))
+	})
+	for i, s := range usable {
+		if needed <= 0 && step.Spec().GetGang() {
+			return usable[:i]
+		}
+		needed -= max(planned[s], int(step.Need().Count(s.life.Free())))
+	}
+	return usable
 }
 
-// patience is how long a call may wait at a helper.
-func patience(lateness allocator.Lateness, inTime time.Duration) time.Duration {
-	if lateness == allocator.InTime {
+// patience is how long a call may wait at a helper. Late steps make no call wait, except while most of the room is free:
+// then they could start at once, and there is little that could still be in time.
+func (f *Foreman) patience(lateness allocator.Lateness, inTime time.Duration) time.Duration {
+	if lateness == allocator.InTime || f.mostlyFree {
 		return inTime
 	}
 	return 0
--- a/controld/internal/foreman/consent_test.go
+++ b/controld/internal/foreman/consent_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/core/courier"
 	"flamingodrift.example/core/wire"
 )
@@ -56,9 +57,9 @@
 	step := d.batch.Job(job).Steps()[0]
 	d.Consented(first, granted, nil, d.now)
 	ends := d.consent(step).granted[d.batch.Life("w000")].until
-	d.renewTickets(step, allocator.InTime, ends-time.Second)
+	d.renewTickets(step, allocator.InTime, nil, ends-time.Second)
 	require.Empty(t, d.Take().Asks, "tickets that last are not renewed")
-	d.renewTickets(step, allocator.InTime, ends-d.callLength(step, 2))
+	d.renewTickets(step, allocator.InTime, nil, ends-d.callLength(step, 2))
 	renewed := d.Take().Asks
 	require.Len(t, renewed, 1)
 	require.Equal(t, []string{"w000", "w001"}, renewed[0].Workers)
@@ -73,12 +74,68 @@
 	for _, name := range []string{"e0", "e1", "e2"} {
 		d.helpers[name].busyUntil = d.now + time.Second
 	}
+	d.mostlyFree = false
 	d.askMore(step, allocator.Late, d.now)
 	require.Empty(t, d.Take().Asks)
 	d.askMore(step, allocator.InTime, d.now)
 	require.Len(t, d.Take().Asks, 1)
 }
 
+// TestLateStepsAskWhileRoomIsFree guards a late step against waiting for a helper beside idle workers, where it could start
+// at once.
+func TestLateStepsAskWhileRoomIsFree(t *testing.T) {
+	d := consentDesk(t, 10, 4)
+	for name := range d.helpers {
+		d.helpers[name].busyUntil = d.now + moreWaiting/2
+	}
+	d.submit(&wire.JobStep{Count: 2, CpuMillis: 8000, Gang: true, EstimateMs: 2000})
+	d.turn(0)
+	require.True(t, d.mostlyFree)
+	step := d.batch.Job(job).Steps()[0]
+	d.consents[step] = nil
+	d.Take()
+	d.askMore(step, allocator.Overdue, d.now)
+	require.Len(t, d.Take().Asks, 1)
+}
+
+// granted lets a step have tickets for workers that last until a time.
+func (d *desk) granted(step *batch.Step, until time.Duration, workers ...string) {
+	for _, w := range workers {
+		life := d.batch.Life(w)
+		d.consent(step).granted[life] = &ticket{session: d.session(life, d.now), value: "t", until: until}
+	}
+}
+
+// TestGangKeepsTheTicketsItNeeds guards the outside service's time: a gang that was allowed on many workers renews the
+// tickets of its planned start and of as many again, not all.
+func TestGangKeepsTheTicketsItNeeds(t *testing.T) {
+	d := consentDesk(t, 10, 4)
+	d.submit(&wire.JobStep{Count: 3, CpuMillis: 5000, Gang: true, EstimateMs: 2000})
+	step := d.batch.Job(job).Steps()[0]
+	var workers []string
+	for i := range 10 {
+		workers = append(workers, fmt.Sprintf("w%03d", i))
+	}
+	d.granted(step, d.now, workers...)
+	planned := []gathered{{session: d.sessions["w007"], count: 1}}
+	d.renewTickets(step, allocator.InTime, planned, d.now)
+	asks := d.Take().Asks
+	require.Len(t, asks, 1)
+	require.Equal(t, []string{"w007", "w000", "w001", "w002", "w003", "w004"}, asks[0].Workers)
+}
+
+// TestLateGangStopsAsking guards gangs that can be in time: one that cannot asks for no more workers once those that were
+// allowed have room for it several times over.
+func TestLateGangStopsAsking(t *testing.T) {
+	d := consentDesk(t, 10, 4)
+	d.submit(&wire.JobStep{Count: 2, CpuMillis: 5000, Gang: true, EstimateMs: 2000})
+	step := d.batch.Job(job).Steps()[0]
+	d.granted(step, d.now, "w000", "w001", "w002", "w003", "w004", "w005", "w006")
+	require.False(t, d.wellCovered(step))
+	d.granted(step, d.now, "w007")
+	require.True(t, d.wellCovered(step))
+}
+
 // TestHeldWorkersAreAskedLast guards the room that a gang gathers: short work that asks for consent there would be placed
 // there.
 func TestHeldWorkersAreAskedLast(t *testing.T) {
--- a/controld/internal/foreman/decide.go
+++ b/controld/internal/foreman/decide.go
@@ -122,7 +122,7 @@
 func (f *Foreman) seekConsent(r *round, plan allocator.Plan, now time.Duration) {
 	for _, d := range plan.NeedConsent {
 		if r.steps[d].Job().Queue().GetConsent() != nil {
-			f.renewTickets(r.steps[d], r.demands[d].Lateness, now)
+			f.renewTickets(r.steps[d], r.demands[d].Lateness, nil, now)
 		}
 	}
 	for _, w := range plan.Waiting {
@@ -132,9 +132,9 @@
 			continue
 		}
 		if w.Possible && w.In <= f.callLength(step, len(f.consent(step).granted))+renewBefore {
-			f.renewTickets(step, demand.Lateness, now)
+			f.renewTickets(step, demand.Lateness, r.sessionsOf(w.Shares), now)
 		}
-		if !w.Possible || now+w.In > f.latestStart(step) {
+		if !w.Possible || now+w.In > f.latestStart(step) && (demand.Lateness == allocator.InTime || !f.wellCovered(step)) {
 			f.askMore(step, demand.Lateness, now)
 		}
 	}
@@ -149,6 +149,7 @@
 func (r *round) has(s *session) bool { return s.round == r.number }
 
 func (f *Foreman) addWorkers(r *round) {
+	var room, free int64
 	for _, s := range f.sessions {
 		if !f.usable(s, r.now) {
 			continue
@@ -161,7 +162,10 @@
 			Unproven: s.streak >= provenStreak,
 		}
 		r.workers = append(r.workers, w)
+		room += w.Room.CPU()
+		free += w.Free.CPU()
 	}
+	f.mostlyFree = 2*free > room
 }
 
 const (
--- a/controld/internal/foreman/foreman.go
+++ b/controld/internal/foreman/foreman.go
@@ -76,6 +76,8 @@
 	rounds        uint64
 	roundSessions []*session
 	roundWorkers  []allocator.Worker
+	// mostlyFree is set while more than half of the processors of the usable workers are free.
+	mostlyFree bool
 	// last is what the last round decided.
 	last outcome
 	// shares is the share of asked workers that were granted, by queue.
--- a/controld/internal/foreman/gather.go
+++ b/controld/internal/foreman/gather.go
@@ -16,14 +16,22 @@
 		delete(f.gathering, step)
 		return
 	}
-	shares := make([]gathered, 0, len(w.Shares))
-	for _, s := range w.Shares {
-		r.sessions[s.Worker].held = true
-		shares = append(shares, gathered{session: r.sessions[s.Worker], count: s.Count})
+	shares := r.sessionsOf(w.Shares)
+	for _, s := range shares {
+		s.session.held = true
 	}
 	f.gathering[step] = shares
 }
 
+// sessionsOf returns the sessions of a planned start.
+func (r *round) sessionsOf(planned []allocator.Share) []gathered {
+	shares := make([]gathered, 0, len(planned))
+	for _, s := range planned {
+		shares = append(shares, gathered{session: r.sessions[s.Worker], count: s.Count})
+	}
+	return shares
+}
+
 // gathered is how many members of a gang are going to run on a worker.
 type gathered struct {
 	session *session
--- a/controld/internal/foreman/replay_fleet_test.go
+++ b/controld/internal/foreman/replay_fleet_test.go
@@ -71,16 +71,19 @@
 // replay plays a load against a Foreman in simulated time.
 type replay struct {
 	*Foreman
-	load     load
-	rand     *rand.Rand
-	now      time.Duration
-	batch    *batch.Batch
-	workers  map[string]*replayWorker
-	names    []string
-	jobs     map[string]*replayJob
-	later    map[time.Duration][]func()
-	helperAt map[string]time.Duration
-	served   []served
+	load    load
+	rand    *rand.Rand
+	now     time.Duration
+	batch   *batch.Batch
+	workers map[string]*replayWorker
+	names   []string
+	jobs    map[string]*replayJob
+	// idle is how long jobs have waited beside idle workers, and longestIdle the longest of these times.
+	idle        map[string]time.Duration
+	longestIdle time.Duration
+	later       map[time.Duration][]func()
+	helperAt    map[string]time.Duration
+	served      []served
 	// submitted numbers the jobs.
 	submitted int
 }
@@ -164,6 +167,9 @@
 		if r.load.handover > 0 && passed == r.load.handover {
 			r.lead(2)
 		}
+		if passed%idleCheck == 0 {
+			r.watchIdle()
+		}
 	}
 	for _, j := range r.jobs {
 		if !j.done {
@@ -173,6 +179,45 @@
 	return r.served
 }
 
+// idleCheck is how often a replay looks for work that waits beside idle workers.
+const idleCheck = 100 * time.Millisecond
+
+// watchIdle measures how long a job has nothing running although its turn has come, under half of the processors are in
+// use, and the workers that may run it have room for it twice over.
+func (r *replay) watchIdle() {
+	var room, free int64
+	for _, life := range r.batch.Lives() {
+		room += life.Room().CPU()
+		free += life.Free().CPU()
+	}
+	idle := map[string]time.Duration{}
+	for _, j := range r.batch.Active() {
+		if free*2 <= room || j.Ended() || j.Held() > 0 || !r.fitsTwice(j) {
+			continue
+		}
+		idle[j.ID()] = r.idle[j.ID()] + idleCheck
+		r.longestIdle = max(r.longestIdle, idle[j.ID()])
+	}
+	r.idle = idle
+}
+
+// fitsTwice reports whether a step of a job whose turn has come would fit twice over.
+func (r *replay) fitsTwice(j *batch.Job) bool {
+	for _, step := range j.Steps() {
+		if !step.Ready() || step.Waiting() == 0 {
+			continue
+		}
+		slots := int64(0)
+		for worker, granted := range r.jobs[j.ID()].granted {
+			if life := r.batch.Life(worker); granted && life != nil {
+				slots += step.Need().Count(life.Free())
+			}
+		}
+		return slots >= int64(2*step.Waiting())
+	}
+	return false
+}
+
 func (r *replay) step() {
 	f := r.Foreman
 	if command := r.Step(r.now); command != nil {
