foreman: a gang renews tickets only where the allocator would place it

The tickets that a gang keeps were cut after twice its tasks by free room. Where no start was planned (overdue gangs, gangs beyond the planned ones) these could be workers that may not take it: those that failed runs and are empty for that reason, more members than one worker may have, other racks. A planned worker with more free room than its share also counted too much. Such a gang would have renewed the same useless tickets for ever.

Change: the allocator also tells where a gang would run that only lacks consent; planned workers count with their share, others come after them.

Test: TestOverdueGangRenewsWhereItFits fails without the shares.

--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -122,8 +122,9 @@
 	// Possible is set when its candidates could hold it, In the time until they should.
 	Possible bool
 	In       time.Duration
-	// Shares are where it is going to run.
-	Shares []Share
+	// Shares are where it is going to run. Planned is set when it may hold that room; others only lack consent there.
+	Shares  []Share
+	Planned bool
 }
 
 // Config holds the weights of the policy.
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -42,7 +42,7 @@
 		return
 	}
 	if d.Lateness == Overdue || r.planned >= r.cfg.PlannedGangs {
-		r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: now >= count})
+		r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: now >= count, Shares: sharesNow(offers, count)})
 		return
 	}
 	r.planned++
@@ -56,7 +56,7 @@
 		}
 	}
 	shares := waiting.shares(offers)
-	r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: ok, In: waiting.in, Shares: shares})
+	r.plan.Waiting = append(r.plan.Waiting, Waiting{Demand: index, Possible: ok, In: waiting.in, Shares: shares, Planned: true})
 	r.hold(index, shares, waiting.in)
 }
 
@@ -208,6 +208,18 @@
 	return shares
 }
 
+// sharesNow returns where a gang would run if only consent were missing; nil when there is no room for all of it.
+func sharesNow(offers []offer, count int) []Share {
+	s := start{slots: make([]int, len(offers))}
+	for i, o := range offers {
+		s.slots[i] = min(o.now, count)
+		if count -= s.slots[i]; count == 0 {
+			return s.shares(offers)
+		}
+	}
+	return nil
+}
+
 // hold keeps room for a gang that should start in a while.
 func (r *round) hold(demand int, shares []Share, in time.Duration) {
 	d := &r.demands[demand]
--- a/controld/internal/controller/disk.go
+++ b/controld/internal/controller/disk.go
@@ -72,7 +72,8 @@
 }
 
 // compareDisk finds out, once the answers that came during a slow sync are handled, whether others had the entries sooner.
-// Only a disk that is slower than the others is a reason to give way.
+// Only a disk that is slower than the others is a reason to give way. Without queues nothing is sent before the sync, so
+// nothing can be compared.
 func (c *Controller) compareDisk() {
 	if c.diskSpeed.index == 0 {
 		return
--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -193,10 +193,14 @@
 			cmp.Compare(a.life.Worker(), b.life.Worker()))
 	})
 	for i, s := range usable {
-		if needed <= 0 && step.Spec().GetGang() {
+		switch {
+		case planned[s] > 0:
+			needed -= planned[s]
+		case needed <= 0 && step.Spec().GetGang():
 			return usable[:i]
+		default:
+			needed -= int(step.Need().Count(s.life.Free()))
 		}
-		needed -= max(planned[s], int(step.Need().Count(s.life.Free())))
 	}
 	return usable
 }
--- a/controld/internal/foreman/consent_test.go
+++ b/controld/internal/foreman/consent_test.go
@@ -124,6 +124,30 @@
 	require.Equal(t, []string{"w007", "w000", "w001", "w002", "w003", "w004"}, asks[0].Workers)
 }
 
+// TestOverdueGangRenewsWhereItFits guards a gang that can be late no more against renewing tickets where it may not run:
+// workers on which it failed, or more members than one worker may have, beside the emptiest ones.
+func TestOverdueGangRenewsWhereItFits(t *testing.T) {
+	d := consentDesk(t, 10, 4)
+	d.submit(&wire.JobStep{Count: 6, CpuMillis: 1000, Gang: true, EstimateMs: 500, MostPerWorker: 1})
+	step := d.batch.Job(job).Steps()[0]
+	var workers []string
+	for i := range 10 {
+		workers = append(workers, fmt.Sprintf("w%03d", i))
+	}
+	p := d.prospects[step.Job()]
+	p.acceptedAt -= time.Minute
+	d.prospects[step.Job()] = p
+	d.granted(step, d.now, workers...)
+	for _, w := range workers[:4] {
+		d.sessions[w].streak = provenStreak
+	}
+	d.turn(100 * time.Millisecond)
+	require.NotEmpty(t, d.work.Asks)
+	for _, w := range workers[4:] {
+		require.Contains(t, d.work.Asks[0].Workers, w)
+	}
+}
+
 // TestLateGangStopsAsking guards gangs that can be in time: one that cannot asks for no more workers once those that were
 // allowed have room for it several times over.
 func TestLateGangStopsAsking(t *testing.T) {
--- a/controld/internal/foreman/gather.go
+++ b/controld/internal/foreman/gather.go
@@ -12,7 +12,7 @@
 
 // gather takes note of where a gang is going to run, once it has begun to gather room.
 func (f *Foreman) gather(r *round, step *batch.Step, d *allocator.Demand, w allocator.Waiting) {
-	if !w.Possible || d.Lateness != allocator.InTime || len(d.Held) == 0 && w.In > gatherWithin {
+	if !w.Planned || !w.Possible || d.Lateness != allocator.InTime || len(d.Held) == 0 && w.In > gatherWithin {
 		delete(f.gathering, step)
 		return
 	}
