foreman: tell room and consent apart when a gang is asked about

Cause: tickets are renewed only shortly before a gang starts, so one that waited for room was said to wait for consent once they had run out.

Change: consent is the reason only while the allowed workers could not hold the step even if idle, or while there is room and the service is asked again.

Test: TestWaitForRoomWithConsent. Decisions are not touched.

--- a/controld/internal/foreman/wait.go
+++ b/controld/internal/foreman/wait.go
@@ -57,9 +57,12 @@
 		return reason.NoCapacity, ""
 	}
 	for _, planned := range f.last.waiting {
-		if planned.Demand != index || !planned.Possible || planned.In == 0 {
+		if planned.Demand != index || !planned.Possible {
 			continue
 		}
+		if planned.In == 0 {
+			return reason.WaitsForConsent, "There is room for it; the service is asked again, as its earlier consent has run out."
+		}
 		workers := "1 worker"
 		if len(planned.Shares) > 1 {
 			workers = fmt.Sprintf("%d workers", len(planned.Shares))
@@ -90,7 +93,8 @@
 	return reason.NoWorkers
 }
 
-// missingConsent returns whether a step waits for the outside service, and what is known of its answers.
+// missingConsent returns whether the workers that the outside service has allowed could not hold a step even if they were
+// idle, and what is known of its answers.
 func (f *Foreman) missingConsent(step *batch.Step, now time.Duration) (why reason.Reason, detail string) {
 	if step.Job().Queue().GetConsent() == nil {
 		return reason.None, ""
@@ -100,8 +104,8 @@
 		return reason.WaitsForConsent, "It has not been asked yet."
 	}
 	room := int64(0)
-	for life, t := range c.granted {
-		if s := f.present(life); s != nil && f.usable(s, now) && now < t.until {
+	for life := range c.granted {
+		if s := f.present(life); s != nil && f.usable(s, now) {
 			room += step.Need().Count(life.Room())
 		}
 	}
--- a/controld/internal/foreman/wait_test.go
+++ b/controld/internal/foreman/wait_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"flamingodrift.example/controld/internal/allocator"
+	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/core/courier"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
@@ -67,6 +69,23 @@
 	}
 }
 
+// TestWaitForRoomWithConsent guards a gang that waits for room against being said to wait for consent because its tickets
+// are renewed only shortly before its start, and the other way round.
+func TestWaitForRoomWithConsent(t *testing.T) {
+	d := consentDesk(t, 2, 3)
+	d.submit(&wire.JobStep{Count: 2, CpuMillis: 8000, Gang: true, EstimateMs: 2000})
+	step := d.batch.Job(job).Steps()[0]
+	d.granted(step, d.now-time.Second, "w000", "w001")
+	waits := func(in time.Duration) reason.Reason {
+		d.last = outcome{steps: []*batch.Step{step}, waiting: []allocator.Waiting{{Possible: true, In: in}}}
+		return d.Wait(step, d.now).Reason
+	}
+	require.Equal(t, reason.WaitsForAll, waits(time.Second))
+	require.Equal(t, reason.WaitsForConsent, waits(0))
+	delete(d.consent(step).granted, d.batch.Life("w001"))
+	require.Equal(t, reason.WaitsForConsent, waits(time.Second), "one worker cannot hold it")
+}
+
 // TestStates guards what is told of workers and runs against a guess: a worker is ready, and a run is on it, only after
 // the worker has said so.
 func TestStates(t *testing.T) {
