Ask once why a step waits, and drop guards that others hold already

From a last read of the change; behaviour stays as it is.

- explainer: the reason for which a step waits was worked out two to three times for each job and again for each task, on the control thread; now once for each step.
Workers by state are counted in one place for the summary and the problems.
- foreman: ask() checked again for consent what its callers have checked, and stopIfStuck what brokenGang checks itself.
- soak: the operator's token is written once, not with each question.

--- a/controld/internal/explainer/queue_workers.go
+++ b/controld/internal/explainer/queue_workers.go
@@ -7,6 +7,7 @@
 
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/foreman"
+	"flamingodrift.example/core/reason"
 )
 
 // queueWorkerStates says of each state its name and what it means for new runs.
@@ -19,6 +20,18 @@
 	foreman.WorkerStray:    {"held", " It runs what the log does not hold there; that is being stopped, and it gets no new runs until then."},
 }
 
+// queueWorkersIn returns the sorted names of the workers that take orders and are in a state.
+func (e *Explainer) queueWorkersIn(state foreman.WorkerState) []string {
+	var names []string
+	for _, life := range e.Cell.Batch().Lives() {
+		if e.Duties.WorkerState(life, e.Now) == state {
+			names = append(names, life.Worker())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // queueWorkers lists the workers that take orders.
 func (e *Explainer) queueWorkers() []*Host {
 	if e.Duties == nil {
@@ -52,8 +65,8 @@
 		fmt.Sprintf("Worker %s is in rack %s. %s", name, life.Report().GetRack(), e.queueWorker(life).Sentence),
 	}}
 	for t := range life.Tasks() {
-		line := e.submittedTask(t)
-		line.Sentence = e.runSentence(t)
+		line := e.submittedTask(t, reason.None)
+		line.Sentence = e.runSentence(t, reason.None)
 		answer.Tasks = append(answer.Tasks, line)
 	}
 	slices.SortFunc(answer.Tasks, func(a, b *Task) int { return cmp.Compare(a.Task, b.Task) })
--- a/controld/internal/explainer/queues.go
+++ b/controld/internal/explainer/queues.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		q.WaitingTasks += step.Waiting()
-		wait := e.Duties.Wait(step, e.Now)
+		wait := e.stepWait(step)
 		q.Reasons[wait.Reason]++
 		late = late || wait.Late && step.Ready()
 	}
@@ -133,12 +133,7 @@
 			running++
 		}
 	}
-	ready := 0
-	for _, life := range e.Cell.Batch().Lives() {
-		if e.Duties.WorkerState(life, e.Now) == foreman.WorkerReady {
-			ready++
-		}
-	}
+	ready := len(e.queueWorkersIn(foreman.WorkerReady))
 	return fmt.Sprintf("Submitted jobs: %d wait, %d have begun; %s on workers. %d of %s new runs.", waiting, running,
 		counted(tasks, "task is", "tasks are"), ready, counted(len(e.Cell.Batch().Lives()), "worker takes", "workers take"))
 }
@@ -151,23 +146,11 @@
 	if e.Cell.Batch().Config() == nil {
 		return []string{"There is no queue configuration yet, so every job is turned away."}
 	}
-	var silent []string
-	ready := 0
-	for _, life := range e.Cell.Batch().Lives() {
-		switch e.Duties.WorkerState(life, e.Now) {
-		case foreman.WorkerReady:
-			ready++
-		case foreman.WorkerSilent:
-			silent = append(silent, life.Worker())
-		default:
-		}
-	}
-	slices.Sort(silent)
 	var problems []string
-	if ready == 0 && len(e.Cell.Batch().Active()) > 0 {
+	if len(e.queueWorkersIn(foreman.WorkerReady)) == 0 && len(e.Cell.Batch().Active()) > 0 {
 		problems = append(problems, "No worker takes new runs, and submitted jobs have not ended.")
 	}
-	if len(silent) > 0 {
+	if silent := e.queueWorkersIn(foreman.WorkerSilent); len(silent) > 0 {
 		problems = append(problems, fmt.Sprintf("%s: %s.", counted(len(silent), "worker does not answer", "workers do not answer"), someOf(silent)))
 	}
 	return problems
--- a/controld/internal/explainer/submitted.go
+++ b/controld/internal/explainer/submitted.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/foreman"
+	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
 
@@ -33,8 +35,9 @@
 		}
 		known := e.Duties.Known(j, e.Now)
 		w.SinceUnixMs = e.NowUnixMs - known.Milliseconds()
-		w.Reason = e.Duties.Wait(first, e.Now).Reason.String()
-		w.Sentence = fmt.Sprintf("%s. %s", phaseText(j, known), e.stepSentence(first))
+		wait := e.stepWait(first)
+		w.Reason = wait.Reason.String()
+		w.Sentence = fmt.Sprintf("%s. %s", phaseText(j, known), stepSentence(first, wait))
 		list = append(list, w)
 	}
 	return list
@@ -69,8 +72,16 @@
 	return text
 }
 
+// stepWait returns why tasks of a step have no run; it has no reason when none waits.
+func (e *Explainer) stepWait(step *batch.Step) foreman.Wait {
+	if step.Waiting() == 0 {
+		return foreman.Wait{}
+	}
+	return e.Duties.Wait(step, e.Now)
+}
+
 // stepSentence says what of a step is done, what runs, and why the rest waits.
-func (e *Explainer) stepSentence(step *batch.Step) string {
+func stepSentence(step *batch.Step, w foreman.Wait) string {
 	spec := step.Spec()
 	done := 0
 	for _, t := range step.Tasks() {
@@ -87,7 +98,6 @@
 	if step.Waiting() == 0 {
 		return text
 	}
-	w := e.Duties.Wait(step, e.Now)
 	text += " " + waitSentences[w.Reason]
 	if w.Detail != "" {
 		text += " " + w.Detail
@@ -112,12 +122,13 @@
 		fmt.Sprintf("Job %s was submitted to queue %s. %s.", id, j.Queue().GetName(), phaseText(j, e.Duties.Known(j, e.Now))),
 	}}
 	for _, step := range j.Steps() {
+		wait := e.stepWait(step)
 		if !isTask {
-			answer.Sentences = append(answer.Sentences, e.stepSentence(step))
+			answer.Sentences = append(answer.Sentences, stepSentence(step, wait))
 		}
 		for _, t := range step.Tasks() {
-			if line := e.submittedTask(t); !isTask || line.Task == name {
-				line.Sentence = e.runSentence(t)
+			if line := e.submittedTask(t, wait.Reason); !isTask || line.Task == name {
+				line.Sentence = e.runSentence(t, wait.Reason)
 				answer.Tasks = append(answer.Tasks, line)
 			}
 		}
@@ -128,7 +139,8 @@
 	return answer
 }
 
-func (e *Explainer) submittedTask(t *batch.Task) *Task {
+// submittedTask returns a task without its sentence; why is the reason for which its step waits.
+func (e *Explainer) submittedTask(t *batch.Task, why reason.Reason) *Task {
 	j := t.Step().Job()
 	line := &Task{
 		Task: fmt.Sprintf("%s/%d/%d", j.ID(), t.Step().Number(), t.Index()), Team: j.Queue().GetName(), Kind: "submitted",
@@ -149,12 +161,12 @@
 	case j.Ended():
 		line.State = "cancelled"
 	default:
-		line.State, line.Reason = "waiting", e.Duties.Wait(t.Step(), e.Now).Reason.String()
+		line.State, line.Reason = "waiting", why.String()
 	}
 	return line
 }
 
-func (e *Explainer) runSentence(t *batch.Task) string {
+func (e *Explainer) runSentence(t *batch.Task, why reason.Reason) string {
 	state := e.Duties.RunState(t, e.Now)
 	switch {
 	case t.Life() != nil && state.Stopping:
@@ -168,7 +180,7 @@
 	case t.Step().Job().Ended():
 		return "It does not run again, as its job has ended."
 	default:
-		return waitSentences[e.Duties.Wait(t.Step(), e.Now).Reason]
+		return waitSentences[why]
 	}
 }
 
@@ -182,7 +194,7 @@
 		for _, step := range j.Steps() {
 			for _, t := range step.Tasks() {
 				if t.Life() != nil {
-					tasks = append(tasks, e.submittedTask(t))
+					tasks = append(tasks, e.submittedTask(t, reason.None))
 				}
 			}
 		}
--- a/controld/internal/foreman/consent.go
+++ b/controld/internal/foreman/consent.go
@@ -221,7 +221,7 @@
 
 // ask makes a call for workers and returns how many it names; 0 when no helper is free soon.
 func (f *Foreman) ask(step *batch.Step, sessions []*session, patience, now time.Duration) int {
-	if len(sessions) == 0 || step.Job().Queue().GetConsent() == nil {
+	if len(sessions) == 0 {
 		return 0
 	}
 	if patience == 0 && !f.mostlyIdle(now) {
--- a/controld/internal/foreman/report.go
+++ b/controld/internal/foreman/report.go
@@ -146,7 +146,7 @@
 	if r.stopping || !r.confirmed || r.percent >= 100 || now-max(r.movedAt, r.confirmedAt) < stuckAfter {
 		return
 	}
-	if t.Step().Spec().GetGang() && brokenGang(t.Step()) {
+	if brokenGang(t.Step()) {
 		return
 	}
 	logger.RunStuck.Log(f.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
--- a/standin/internal/soaker/operators.go
+++ b/standin/internal/soaker/operators.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -31,19 +30,16 @@
 
 func (s *Soaker) metrics(i int) string { return fmt.Sprintf("%s:%d", s.ip(40+i), metricsPort) }
 
+func (s *Soaker) tokenFile() string { return filepath.Join(s.cfg.Folder, "operator-token") }
+
 // askQueues asks with flamingoctl what waits and runs; ok is false when no leader answered.
 func (s *Soaker) askQueues(ctx context.Context) (lines []queueLine, ok bool) {
 	var entries []string
 	for i := range s.cfg.Fronts {
 		entries = append(entries, s.metrics(i))
 	}
-	token := filepath.Join(s.cfg.Folder, "operator-token")
-	if err := os.WriteFile(token, []byte(operatorToken), 0o600); err != nil {
-		s.violate("write the operator's token: %v", err)
-		return nil, false
-	}
 	out, err := exec.CommandContext(ctx, filepath.Join(s.cfg.Programs, "flamingoctl"),
-		"--entries", strings.Join(entries, ","), "--token-file", token, "-o", "json", "queues").Output()
+		"--entries", strings.Join(entries, ","), "--token-file", s.tokenFile(), "-o", "json", "queues").Output()
 	var exit *exec.ExitError
 	switch {
 	case ctx.Err() != nil || errors.As(err, &exit) && exit.ExitCode() == exitNoAnswer:
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -150,6 +151,9 @@
 	if err := s.fleet.serveConsent(s.consentAddress()); err != nil {
 		return err
 	}
+	if err := os.WriteFile(s.tokenFile(), []byte(operatorToken), 0o600); err != nil {
+		return fmt.Errorf("write the operator's token: %w", err)
+	}
 	var seeds []string
 	for i := range min(3, s.cfg.Controls) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.ip(i), queuePort))
