Keep sessions that are alive, and ask for lost answers until the caller's deadline

A call that timed out closed the session with the leader, which cut off all other calls on it; a process without a call in the last second took that for an outage and waited 150 ms only; and a submission that a leader may have received was given up after 700 ms, which left its outcome unknown. Ruled out: a leader that did not answer at all: it stored jobs all the time. Change: a session is closed on a timeout only if nothing arrived on it meanwhile; an outage begins with the first failed call; only the search for a leader is limited, and a change that a leader may have received is asked for again until the deadline. Tests that failed before: TestTimedOutCallLeavesOthers, TestIdleCallerWaits, TestLostAnswerIsAskedForAgain.

--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -38,6 +38,8 @@
 	// minAttemptTime is the time that must be left for another attempt. An attempt that is cut off by the context's end
 	// leaves the caller uncertain whether the request had an effect; a control process answers within a few milliseconds.
 	minAttemptTime = 50 * time.Millisecond
+	// unlimitedSearch stands for no limit to the search for a leader.
+	unlimitedSearch = 24 * time.Hour
 	// maxRedirects is the number of redirects after which the next attempt is delayed.
 	maxRedirects = 3
 )
@@ -76,6 +78,17 @@
 // Call sends a request to the leader and retries until the context ends. A request that may have reached a leader but
 // got no answer is resent, so leaders must be able to recognise it as a duplicate.
 func (l *Locator) Call(ctx context.Context, request *wire.Request) (*wire.Reply, error) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		end = time.Now().Add(unlimitedSearch)
+	}
+	return l.CallWithin(ctx, end, request)
+}
+
+// CallWithin is Call, but it gives up at searchEnd if no attempt can have reached a leader by then: the caller knows
+// that the request had no effect. An attempt that has begun is not cut off by searchEnd, and after one that may have
+// reached a leader, further attempts follow until the context ends.
+func (l *Locator) CallWithin(ctx context.Context, searchEnd time.Time, request *wire.Request) (*wire.Reply, error) {
 	var unanswered error
 	for redirects := 0; ; {
 		address := l.address()
@@ -103,7 +116,8 @@
 		default:
 			return nil, &RefusedError{Refusal: refusal}
 		}
-		if end, ok := ctx.Deadline(); ok && time.Until(end) < retryDelay+minAttemptTime {
+		end, ok := ctx.Deadline()
+		if unanswered == nil && time.Until(searchEnd) < retryDelay || ok && time.Until(end) < retryDelay+minAttemptTime {
 			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
 		}
 		select {
--- a/core/messenger/coalescingconn.go
+++ b/core/messenger/coalescingconn.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
 )
 
 // Layout of a yamux frame header: its size, the offsets of its type and length fields, and the type of data frames.
@@ -14,11 +15,23 @@
 )
 
 // coalescingConn writes the header and the body of a data frame in one call, which halves the system calls: yamux
-// writes them separately. It is not safe for concurrent writes; yamux writes from one goroutine.
+// writes them separately. It also counts the reads that returned data. It is not safe for concurrent writes; yamux
+// writes from one goroutine.
 type coalescingConn struct {
 	net.Conn
 	// frame holds a header that waits for its body.
 	frame []byte
+	// reads is the number of reads that returned data.
+	reads atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c *coalescingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err
 }
 
 // Write implements net.Conn. A header is buffered until its body follows, but reported as written at once.
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -20,7 +20,9 @@
 )
 
 const (
-	dialTimeout      = time.Second
+	// connectTimeout is short, because a host without power does not refuse connections and another one may answer.
+	connectTimeout   = 300 * time.Millisecond
+	sendTimeout      = time.Second
 	handshakeTimeout = 2 * time.Second
 	maxTokenBytes    = 256
 	// sendQueueLength is the number of one-way requests that are queued for a peer before further ones are dropped.
@@ -80,7 +82,7 @@
 	active sync.WaitGroup
 
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*peerSession
 	// dialing holds a lock for each peer, which lets one goroutine dial at a time.
 	dialing map[string]*sync.Mutex
 	// sendQueues holds the one-way requests for each peer.
@@ -88,7 +90,13 @@
 	inbound    map[*yamux.Session]struct{}
 	// idle holds the streams of outgoing sessions on which the last request was answered, for reuse. A new stream for
 	// each request would cost several frames on both sides.
-	idle map[*yamux.Session][]net.Conn
+	idle map[*peerSession][]net.Conn
+}
+
+// peerSession is an outgoing session.
+type peerSession struct {
+	*yamux.Session
+	conn *coalescingConn
 }
 
 // New returns a Messenger without connections.
@@ -99,11 +107,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Messenger{
 		cfg: cfg, ctx: ctx, cancel: cancel,
-		sessions:   map[string]*yamux.Session{},
+		sessions:   map[string]*peerSession{},
 		dialing:    map[string]*sync.Mutex{},
 		sendQueues: map[string]chan *wire.Request{},
 		inbound:    map[*yamux.Session]struct{}{},
-		idle:       map[*yamux.Session][]net.Conn{},
+		idle:       map[*peerSession][]net.Conn{},
 	}
 }
 
@@ -113,14 +121,16 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
+	reads := session.conn.reads.Load()
 	reply, err := m.exchange(ctx, stream, request)
 	if err == nil {
 		m.keepIdle(session, stream)
 		return reply, nil
 	}
 	_ = stream.Close()
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		// The connection may have failed silently; the next call opens a new one.
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && session.conn.reads.Load() == reads {
+		// The connection may have failed silently; the next call opens a new one. A session on which anything arrived
+		// meanwhile is kept: closing it would cut off all other calls to a peer that is only slow.
 		m.dropSession(address, session)
 	}
 	return nil, err
@@ -155,7 +165,7 @@
 }
 
 // keepIdle makes a stream available to the next request, or closes it if it cannot be kept.
-func (m *Messenger) keepIdle(session *yamux.Session, stream net.Conn) {
+func (m *Messenger) keepIdle(session *peerSession, stream net.Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if session.IsClosed() || len(m.idle[session]) >= maxIdleStreams {
@@ -166,7 +176,7 @@
 }
 
 // takeIdle returns an idle stream of the session; nil if there is none.
-func (m *Messenger) takeIdle(session *yamux.Session) net.Conn {
+func (m *Messenger) takeIdle(session *peerSession) net.Conn {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	streams := m.idle[session]
@@ -204,14 +214,14 @@
 			return
 		case request := <-queue:
 			if stream == nil {
-				ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
+				ctx, cancel := context.WithTimeout(m.ctx, connectTimeout)
 				stream, _, _ = m.openStream(ctx, address)
 				cancel()
 			}
 			if stream == nil {
 				continue
 			}
-			_ = stream.SetWriteDeadline(time.Now().Add(dialTimeout))
+			_ = stream.SetWriteDeadline(time.Now().Add(sendTimeout))
 			if err := requests.Write(stream, request); err != nil {
 				_ = stream.Close()
 				stream = nil
@@ -222,7 +232,7 @@
 
 // openStream returns a stream to a peer, if possible an idle one. If the existing session turns out to be broken, it
 // tries once more with a new one.
-func (m *Messenger) openStream(ctx context.Context, address string) (net.Conn, *yamux.Session, error) {
+func (m *Messenger) openStream(ctx context.Context, address string) (net.Conn, *peerSession, error) {
 	for attempt := 0; ; attempt++ {
 		session, created, err := m.session(ctx, address)
 		if err != nil {
@@ -243,7 +253,7 @@
 }
 
 // session returns the session with a peer, and whether it was created by this call.
-func (m *Messenger) session(ctx context.Context, address string) (session *yamux.Session, created bool, err error) {
+func (m *Messenger) session(ctx context.Context, address string) (session *peerSession, created bool, err error) {
 	m.mu.Lock()
 	if session := m.sessions[address]; session != nil && !session.IsClosed() {
 		m.mu.Unlock()
@@ -277,7 +287,7 @@
 }
 
 // dropSession closes a session and its idle streams, so that the next call opens a new session.
-func (m *Messenger) dropSession(address string, session *yamux.Session) {
+func (m *Messenger) dropSession(address string, session *peerSession) {
 	_ = session.Close()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -287,8 +297,8 @@
 	}
 }
 
-func (m *Messenger) dial(ctx context.Context, address string) (*yamux.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (m *Messenger) dial(ctx context.Context, address string) (*peerSession, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	dialer := net.Dialer{}
 	if local, err := netip.ParseAddrPort(m.cfg.LocalAddress); err == nil {
@@ -304,12 +314,13 @@
 		return nil, fmt.Errorf("send token to %s: %w", address, err)
 	}
 	_ = conn.SetDeadline(time.Time{})
-	session, err := yamux.Client(&coalescingConn{Conn: conn}, m.sessionConfig())
+	coalescing := &coalescingConn{Conn: conn}
+	session, err := yamux.Client(coalescing, m.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	return session, nil
+	return &peerSession{Session: session, conn: coalescing}, nil
 }
 
 // sendToken sends the token, prefixed with its length in one byte.
--- a/core/messenger/messenger_test.go
+++ b/core/messenger/messenger_test.go
@@ -225,3 +225,33 @@
 	c.writes.Add(1)
 	return c.Conn.Write(data)
 }
+
+// TestTimedOutCallLeavesOthers guards against closing a session because one call on it took too long: the peer may have
+// carried out the other calls on it, whose answers would be lost.
+func TestTimedOutCallLeavesOthers(t *testing.T) {
+	release := make(chan struct{})
+	var calls atomic.Int32
+	address := serve(t, func(ctx context.Context, request *wire.Request) *wire.Reply {
+		if calls.Add(1) <= 2 {
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+		}
+		return answer(ctx, request)
+	})
+	m := client(t, "right")
+	slow := make(chan error, 1)
+	go func() {
+		_, err := m.Call(context.Background(), address, join())
+		slow <- err
+	}()
+	require.Eventually(t, func() bool { return calls.Load() == 1 }, 10*time.Second, time.Millisecond)
+	// The peer answers the keep-alive probes meanwhile.
+	ctx, cancel := context.WithTimeout(context.Background(), 20*keepAlive)
+	defer cancel()
+	_, err := m.Call(ctx, address, join())
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	close(release)
+	require.NoError(t, <-slow)
+}
--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// leaderTimeout limits how long a call waits for a leader. After that it is better for the caller to retry later.
+	// leaderTimeout limits how long a call looks for a leader. After that it is better for the caller to retry later. It
+	// does not limit a change that a leader may have received: giving up would leave its outcome unknown.
 	leaderTimeout = 700 * time.Millisecond
-	// outageTimeout replaces leaderTimeout once no leader has answered for outageThreshold, because the election then
-	// takes longer than usual.
+	// outageTimeout replaces leaderTimeout once calls have failed for outageThreshold, because the election then takes
+	// longer than usual.
 	outageTimeout   = 150 * time.Millisecond
 	outageThreshold = time.Second
 	// minRetryAfter and maxRetryAfter limit the time after which a caller is told to retry while there is no leader.
@@ -31,27 +32,36 @@
 // Caller forwards calls about queues to the leader. It is safe for concurrent use.
 type Caller struct {
 	leader *locator.Locator
-	// lastAnswer is when a leader last answered, in nanoseconds of the host's clock.
-	lastAnswer atomic.Int64
+	// failingSince is when the first call failed since a leader last answered, in nanoseconds of the host's clock; -1 if
+	// none failed. It is 0, the start of the host, until a leader has answered.
+	failingSince atomic.Int64
 }
 
+// notFailing is the value of failingSince after an answer.
+const notFailing = -1
+
 // New returns a Caller.
 func New(leader *locator.Locator) *Caller { return &Caller{leader: leader} }
 
 // Call forwards a call and returns the leader's reply. Without a leader, the reply says that the call was turned away,
 // or that its outcome is unknown if a leader may have received it. Calls are resent as needed: leaders recognise
-// duplicates.
+// duplicates. A change that a leader may have received is resent until ctx ends.
 func (c *Caller) Call(ctx context.Context, call *wire.QueueCall) *wire.QueueReply {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout(clock.New().Now()))
-	defer cancel()
+	timeout := c.timeout(clock.New().Now())
+	searchEnd := time.Now().Add(timeout)
+	if !mutates(call) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
 	request := &wire.Request{Body: &wire.Request_Queue{Queue: call}}
 	uncertain := false
 	for {
-		reply, err := c.leader.Call(ctx, request)
+		reply, err := c.leader.CallWithin(ctx, searchEnd, request)
 		if err != nil {
 			return c.failureReply(call, err, uncertain)
 		}
-		c.lastAnswer.Store(int64(clock.New().Now()))
+		c.failingSince.Store(notFailing)
 		answer := reply.GetQueue()
 		if answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN &&
 			answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNSPECIFIED {
@@ -62,6 +72,9 @@
 			return answer
 		}
 		uncertain = true
+		if end, ok := ctx.Deadline(); ok {
+			searchEnd = end
+		}
 		select {
 		case <-ctx.Done():
 			return c.failureReply(call, ctx.Err(), uncertain)
@@ -70,14 +83,19 @@
 	}
 }
 
-// sinceLastAnswer returns the time since a leader last answered.
-func (c *Caller) sinceLastAnswer(now time.Duration) time.Duration {
-	return now - time.Duration(c.lastAnswer.Load())
+// outage returns how long calls have failed without an answer of a leader in between. Without calls there is no outage:
+// an idle process has no answers either.
+func (c *Caller) outage(now time.Duration) time.Duration {
+	since := c.failingSince.Load()
+	if since == notFailing {
+		return 0
+	}
+	return now - time.Duration(since)
 }
 
-// timeout returns how long a call waits for a leader.
+// timeout returns how long a call looks for a leader.
 func (c *Caller) timeout(now time.Duration) time.Duration {
-	if c.sinceLastAnswer(now) > outageThreshold {
+	if c.outage(now) > outageThreshold {
 		return outageTimeout
 	}
 	return leaderTimeout
@@ -90,13 +108,14 @@
 	if errors.As(err, &refused) {
 		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_INVALID, Detail: err.Error()}
 	}
+	c.failingSince.CompareAndSwap(notFailing, int64(clock.New().Now()))
 	var unanswered *locator.UnansweredError
 	if mutates(call) && (uncertain || errors.As(err, &unanswered)) {
 		return &wire.QueueReply{Outcome: wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN, Detail: err.Error()}
 	}
 	return &wire.QueueReply{
 		Outcome: wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, Detail: err.Error(),
-		RetryAfterMs: uint32(retryAfter(call, c.sinceLastAnswer(clock.New().Now())).Milliseconds()),
+		RetryAfterMs: uint32(retryAfter(call, c.outage(clock.New().Now())).Milliseconds()),
 	}
 }
 
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -169,3 +169,63 @@
 	gone.Store(true)
 	require.EqualValues(t, 1000, c.Call(ctx, call).GetRetryAfterMs())
 }
+
+// slowAnswer is longer than a call looks for a leader in an outage, and shorter than it does otherwise.
+const slowAnswer = 400 * time.Millisecond
+
+// TestIdleCallerWaits guards against taking a time without calls for an outage: a process that had no calls for some
+// time would cut its next one off while the leader commits it.
+func TestIdleCallerWaits(t *testing.T) {
+	var calls atomic.Int64
+	c := caller(t, func(context.Context, *wire.Request) *wire.Reply {
+		if calls.Add(1) > 1 {
+			time.Sleep(slowAnswer)
+		}
+		return replied(wire.QueueOutcome_QUEUE_OUTCOME_OK)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, c.Call(ctx, submit()).GetOutcome())
+	time.Sleep(1100 * time.Millisecond)
+	require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, c.Call(ctx, read()).GetOutcome())
+	require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, c.Call(ctx, submit()).GetOutcome())
+}
+
+// TestLostAnswerIsAskedForAgain guards against telling a caller that the outcome of its job is unknown while there is
+// time to learn it: the leader stopped before it answered, and the next one takes over after longer than a call looks
+// for a leader.
+func TestLostAnswerIsAskedForAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		// before answers until the next leader takes over.
+		before messenger.Handler
+	}{
+		{"no answer", func(ctx context.Context, _ *wire.Request) *wire.Reply {
+			<-ctx.Done()
+			return nil
+		}},
+		{"the leader lost its lease", func(context.Context, *wire.Request) *wire.Reply {
+			return replied(wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			var lostAt atomic.Int64
+			c := caller(t, func(ctx context.Context, request *wire.Request) *wire.Reply {
+				if calls.Add(1) == 1 {
+					lostAt.Store(time.Now().UnixNano())
+					return test.before(ctx, request)
+				}
+				if time.Now().UnixNano()-lostAt.Load() < int64(1200*time.Millisecond) {
+					return noLeader()
+				}
+				return replied(wire.QueueOutcome_QUEUE_OUTCOME_OK)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, c.Call(ctx, submit()).GetOutcome())
+		})
+	}
+}
