--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -135,6 +135,9 @@
 	// diskBackoffUntil is when the disk no longer counts as full because of a failed write.
 	diskBackoffUntil time.Duration
 	diskSpeed        diskSpeed
+	disk             diskSync
+	// journalBytes is the size of the journal as last read. It can be read only while no sync is running.
+	journalBytes int64
 	// lastSnapshot is the index of the stored snapshot that the journal continues.
 	lastSnapshot    uint64
 	snapshotRetryAt time.Duration
@@ -147,8 +150,9 @@
 	stopped chan struct{}
 
 	status atomic.Pointer[Status]
-	// async runs a blocking call outside the control goroutine.
-	async func(call func())
+	// async runs a blocking call outside the control goroutine; asyncSync does the same for a sync of the journal.
+	async     func(call func())
+	asyncSync func(sync func())
 	// sleep blocks the control goroutine.
 	sleep func(time.Duration)
 }
@@ -184,7 +188,8 @@
 	c := &Controller{
 		cfg: cfg, events: make(chan event, eventQueueCapacity), waiters: map[uint64]waiter{},
 		knownAddresses: map[string]string{}, cell: cell.New(),
-		async: func(call func()) { go call() }, stopped: make(chan struct{}), sleep: time.Sleep,
+		async: func(call func()) { go call() }, asyncSync: func(sync func()) { go sync() }, stopped: make(chan struct{}), sleep: time.Sleep,
+		disk: diskSync{done: make(chan error, 1)},
 	}
 	c.status.Store(&Status{Role: "follower"})
 	if cfg.Contents.State != nil {
@@ -216,6 +221,7 @@
 	defer ticker.Stop()
 	defer close(c.stopped)
 	defer c.failWaiters()
+	defer c.awaitRunningSync()
 	stop := ctx.Done()
 	for {
 		select {
@@ -223,6 +229,10 @@
 			stop = nil
 		case e := <-c.events:
 			c.handle(e, c.cfg.Clock.Now())
+		case err := <-c.disk.done:
+			if _, err := c.finishSync(err); err != nil {
+				return err
+			}
 		case <-ticker.C:
 		}
 		c.handleQueuedEvents()
@@ -269,41 +279,58 @@
 	return c.checkRemoved()
 }
 
-// processReady persists, sends and applies what the consensus state machine returns until nothing is left.
+// processReady syncs, sends and applies what the consensus state machine returns until nothing is left. It does not
+// wait for syncs. A committed entry is applied even if this node has not synced it yet: a majority has.
 func (c *Controller) processReady() error {
 	for {
+		if _, err := c.pollSync(); err != nil {
+			return err
+		}
 		ready := c.repl.Ready()
 		if ready.Empty() {
 			return c.snapshotIfDue()
 		}
-		ready.Messages = c.sendBeforeSync(ready)
-		if err := c.persist(ready); err != nil {
-			if errors.Is(err, journal.ErrDiskFull) {
-				return c.reloadAfterDiskFull()
-			}
+		reloaded, err := c.processOne(ready)
+		if err != nil {
 			return err
 		}
-		c.repl.MarkPersisted(c.cfg.Clock.Now())
-		c.sendAll(ready.Messages)
+		if reloaded {
+			continue
+		}
 		if err := c.applyCommitted(ready.Committed); err != nil {
 			return err
 		}
 	}
 }
 
+// processOne syncs and sends what ready holds. It reports whether the state was read from the disk again because the
+// disk is full; what is left of ready is then obsolete.
+func (c *Controller) processOne(ready replicator.Ready) (reloaded bool, _ error) {
+	if ready.Install != nil {
+		if reloaded, err := c.drainSync(); reloaded || err != nil {
+			return reloaded, err
+		}
+		if err := c.install(ready); errors.Is(err, journal.ErrDiskFull) {
+			return true, c.reloadAfterDiskFull()
+		} else if err != nil {
+			return false, err
+		}
+	}
+	c.enqueue(ready.Records, c.sendBeforeSync(ready))
+	c.startSync()
+	return c.pollSync()
+}
+
 // sendBeforeSync sends a leader's new entries before it syncs them itself, so that the followers write them at the same
 // time; the leader counts its own copy only after the sync. It returns the messages that must wait for the sync. A new
 // term or vote must be on disk before anything is sent. Without queues nothing is sent before the sync, so that a
 // change that did not fit on the leader's disk is known not to be accepted.
 func (c *Controller) sendBeforeSync(ready replicator.Ready) []*wire.PeerMessage {
-	if c.cfg.Queues == nil || ready.Install != nil {
+	batch := syncBatch{records: ready.Records}
+	if c.cfg.Queues == nil || ready.Install != nil || batch.hasHardState() || c.disk.next.hasHardState() ||
+		c.disk.running != nil && c.disk.running.hasHardState() {
 		return ready.Messages
 	}
-	for _, record := range ready.Records {
-		if record.GetHardState() != nil {
-			return ready.Messages
-		}
-	}
 	var early, late []*wire.PeerMessage
 	for _, message := range ready.Messages {
 		if message.GetAppendRequest() != nil {
@@ -316,31 +343,22 @@
 	return late
 }
 
-func (c *Controller) persist(ready replicator.Ready) error {
-	if ready.Install != nil {
-		restored, err := cell.Restore(ready.Install.GetState())
-		if err != nil {
-			return fmt.Errorf("restore cell from the leader's snapshot: %w", err)
-		}
-		if err := c.cfg.Store.SaveSnapshot(ready.Install); err != nil {
-			return err
-		}
-		if err := c.cfg.Store.ReplaceJournal(ready.Install.GetMeta(), c.repl.HardState(), ready.Tail); err != nil {
-			return err
-		}
-		c.cell, c.applied = restored, ready.Install.GetMeta().GetIndex()
-		c.lastSnapshot = c.applied
-		c.failWaiters()
-		logger.SnapshotInstalled.Log(c.cfg.Logger, "index", c.applied)
+// install replaces the state by a snapshot received from the leader. No sync may be running.
+func (c *Controller) install(ready replicator.Ready) error {
+	restored, err := cell.Restore(ready.Install.GetState())
+	if err != nil {
+		return fmt.Errorf("restore cell from the leader's snapshot: %w", err)
 	}
-	if len(ready.Records) == 0 {
-		return nil
+	if err := c.cfg.Store.SaveSnapshot(ready.Install); err != nil {
+		return err
 	}
-	began := c.cfg.Clock.Now()
-	if err := c.cfg.Store.Append(ready.Records); err != nil {
+	if err := c.cfg.Store.ReplaceJournal(ready.Install.GetMeta(), c.repl.HardState(), ready.Tail); err != nil {
 		return err
 	}
-	c.diskSpeed.recordSync(c.repl.LastIndex(), c.cfg.Clock.Now()-began > c.cfg.Heartbeat)
+	c.cell, c.applied = restored, ready.Install.GetMeta().GetIndex()
+	c.lastSnapshot = c.applied
+	c.failWaiters()
+	logger.SnapshotInstalled.Log(c.cfg.Logger, "index", c.applied)
 	return nil
 }
 
--- a/controld/internal/controller/disk.go
+++ b/controld/internal/controller/disk.go
@@ -55,7 +55,7 @@
 )
 
 // diskSpeed compares the speed of this node's disk with that of the other voters. A sync is slow when it takes longer
-// than a heartbeat interval, since the control goroutine blocks on it and cannot send heartbeats.
+// than a heartbeat interval. A disk that hangs altogether keeps a new term or vote of this node from its journal.
 type diskSpeed struct {
 	// slowIndex is the last entry of the newest slow sync that is not compared yet; 0 when there is none.
 	slowIndex uint64
@@ -106,6 +106,7 @@
 		c.cell, c.applied, c.lastSnapshot = restored, snapshot, snapshot
 	}
 	c.stopLeading()
+	c.disk.next = syncBatch{}
 	c.repl = c.newReplicator(contents.Restored, now)
 	c.repl.MarkApplied(c.applied)
 	c.setDiskFull(true)
@@ -142,9 +143,15 @@
 // tries again after diskFullBackoff.
 func (c *Controller) snapshotIfDue() error {
 	now := c.cfg.Clock.Now()
-	if c.cfg.Store.JournalBytes() < c.cfg.SnapshotBytes || c.applied <= c.lastSnapshot || now < c.snapshotRetryAt {
+	if c.disk.running == nil {
+		c.journalBytes = c.cfg.Store.JournalBytes()
+	}
+	if c.journalBytes < c.cfg.SnapshotBytes || c.applied <= c.lastSnapshot || now < c.snapshotRetryAt {
 		return nil
 	}
+	if reloaded, err := c.drainSync(); reloaded || err != nil {
+		return err
+	}
 	err := c.takeSnapshot()
 	if errors.Is(err, journal.ErrDiskFull) {
 		c.snapshotRetryAt = now + diskFullBackoff
@@ -171,7 +178,7 @@
 	if err := c.cfg.Store.ReplaceJournal(meta, c.repl.HardState(), c.repl.Entries(c.applied+1)); err != nil {
 		return err
 	}
-	c.lastSnapshot = c.applied
+	c.lastSnapshot, c.journalBytes = c.applied, c.cfg.Store.JournalBytes()
 	logger.SnapshotStored.Log(c.cfg.Logger, "index", meta.GetIndex(), "bytes", len(state))
 	return nil
 }
--- a/controld/internal/controller/failure_test.go
+++ b/controld/internal/controller/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"flamingodrift.example/controld/internal/store"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
@@ -164,6 +165,81 @@
 	}
 }
 
+// A disk that hangs must not stop the control goroutine of the leader: it keeps its lease, and the others commit what
+// callers submit. Nothing that rests on the records that hang may be sent, and everything is stored in order once the
+// disk continues.
+func TestHangingDiskDoesNotHoldUpLeader(t *testing.T) {
+	f := newFakeFleet(t, 1, 0)
+	g := newGroupWithQueues(t, 3, f.config())
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	leader := g.leader()
+	var hanging []func()
+	leader.ctl.asyncSync = func(sync func()) { hanging = append(hanging, sync) }
+	for number := range 3 {
+		reply := g.call(leader, submitCall(number))
+		g.run(10 * time.Second)
+		require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, (*reply).GetQueue().GetOutcome())
+		require.Equal(t, leader, g.leader())
+	}
+	require.Len(t, hanging, 1, "one batch is synced at a time")
+	leader.ctl.asyncSync = func(sync func()) { sync() }
+	hanging[0]()
+	g.run(time.Second)
+	leader.down = true
+	require.NoError(t, leader.ctl.cfg.Store.Close())
+	data, contents, err := store.Open(leader.dir)
+	require.NoError(t, err)
+	defer func() { _ = data.Close() }()
+	stored := contents.Restored.Entries
+	require.Equal(t, leader.ctl.repl.LastIndex(), stored[len(stored)-1].GetIndex())
+}
+
+// A leader whose syncs follow each other without a pause must know that a snapshot has made its journal short, or it
+// stores another one in each iteration of the control loop: after a large configuration it did nothing else.
+func TestSnapshotMakesJournalShort(t *testing.T) {
+	f := newFakeFleet(t, 1, 0)
+	g := newGroupWithQueues(t, 3, f.config())
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	leader := g.leader()
+	g.call(leader, submitCall(1))
+	g.run(testTick)
+	leader.ctl.journalBytes = leader.ctl.cfg.SnapshotBytes
+	require.NoError(t, leader.ctl.takeSnapshot())
+	var hanging []func()
+	leader.ctl.asyncSync = func(sync func()) { hanging = append(hanging, sync) }
+	g.call(leader, submitCall(2))
+	g.run(testTick)
+	require.Len(t, hanging, 1)
+	require.Less(t, leader.ctl.journalBytes, leader.ctl.cfg.SnapshotBytes)
+	hanging[0]()
+}
+
+// An acknowledgement of a follower must wait for its sync, else the leader would commit entries that a loss of power
+// removes.
+func TestFollowerAcknowledgesOnlyWhatItSynced(t *testing.T) {
+	f := newFakeFleet(t, 1, 0)
+	g := newGroupWithQueues(t, 3, f.config())
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	leader := g.leader()
+	var hanging []func()
+	for _, node := range g.others(leader) {
+		node.ctl.asyncSync = func(sync func()) { hanging = append(hanging, sync) }
+	}
+	commit := leader.ctl.repl.Commit()
+	reply := g.call(leader, submitCall(1))
+	g.run(500 * time.Millisecond)
+	require.Nil(t, *reply)
+	require.Equal(t, commit, leader.ctl.repl.Commit())
+	for _, sync := range hanging {
+		sync()
+	}
+	g.run(testTick)
+	require.Equal(t, wire.QueueOutcome_QUEUE_OUTCOME_OK, (*reply).GetQueue().GetOutcome())
+}
+
 // A follower whose disk fills up while it installs a snapshot from the leader must keep running and catch up once there
 // is space.
 func TestFullDiskDuringSnapshotInstall(t *testing.T) {
--- a/controld/internal/controller/group_test.go
+++ b/controld/internal/controller/group_test.go
@@ -138,6 +138,7 @@
 	})
 	require.NoError(t, err)
 	n.ctl.async = func(call func()) { call() }
+	n.ctl.asyncSync = func(sync func()) { sync() }
 	t.Cleanup(func() { _ = data.Close() })
 }
 
--- a/controld/main.go
+++ b/controld/main.go
@@ -67,6 +67,7 @@
 		}
 		return
 	}
+	starter.ReserveProcessors()
 	out := linewriter.New(os.Stdout)
 	log := logger.New(out, "controld", cfg.Name)
 	klog.SetLogger(kratoslogger.New(log))
--- a/core/replicator/faults_test.go
+++ b/core/replicator/faults_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestGroupUnderFaults injects random faults: lost, delayed, duplicated and reordered messages, pauses, partitions,
-// crashes that lose unsynced records, full disks, and lost disks. The oracle detects two leaders in a term, two leader
+// crashes that lose unsynced records, slow disks, full disks, and lost disks. The oracle detects two leaders in a term, two leader
 // leases at the same time, and committed entries that change, disappear or differ in order.
 func TestGroupUnderFaults(t *testing.T) {
 	elections, entries := 0, uint64(0)
@@ -34,6 +34,7 @@
 	net := newNetwork(t, rapid.Uint64().Draw(t, "seed"), size)
 	net.run(4 * time.Second)
 	net.faulty = true
+	net.slowDisks = rapid.Bool().Draw(t, "slow disks")
 	return &faultDriver{net: net, t: t}
 }
 
@@ -157,7 +158,7 @@
 // checkRecovery ends all faults and verifies that the group accepts a command and that every node applies it.
 func (d *faultDriver) checkRecovery() {
 	d.net.heal()
-	d.net.faulty = false
+	d.net.faulty, d.net.slowDisks = false, false
 	for _, node := range d.net.nodes {
 		node.paused, node.crash = false, noCrash
 		if node.down && !node.lost {
--- a/core/replicator/lease_test.go
+++ b/core/replicator/lease_test.go
@@ -78,10 +78,16 @@
 	}
 	require.True(t, r.IsLeader())
 	r.Ready()
-	r.MarkPersisted(now)
+	markAllPersisted(r, now)
 	return r, now
 }
 
+// markAllPersisted marks the whole log as synced.
+func markAllPersisted(r *Replicator, now time.Duration) {
+	term, _ := r.TermAt(r.LastIndex())
+	r.MarkPersisted(r.LastIndex(), term, now)
+}
+
 func appendReply(sent time.Duration) *wire.PeerMessage {
 	return &wire.PeerMessage{From: "b", To: "a", Term: 1, Body: &wire.PeerMessage_AppendReply{
 		AppendReply: &wire.AppendReply{Accepted: true, MatchIndex: 1, SentAtNs: int64(sent)},
@@ -100,7 +106,7 @@
 	require.NotEmpty(t, r.Ready().Records)
 	r.Step(now, reply)
 	require.Empty(t, r.Ready().Committed)
-	r.MarkPersisted(now)
+	markAllPersisted(r, now)
 	require.Len(t, r.Ready().Committed, 1)
 }
 
@@ -134,7 +140,7 @@
 		}})
 	}
 	r.Ready()
-	r.MarkPersisted(now)
+	markAllPersisted(r, now)
 	for _, step := range []struct{ match, commit uint64 }{{3, 0}, {4, 4}} {
 		reply := appendReply(now)
 		reply.Term, reply.GetAppendReply().MatchIndex = 2, step.match
@@ -156,3 +162,24 @@
 		require.Empty(t, msg.GetAppendRequest().GetEntries())
 	}
 }
+
+// A sync that ends after its entries were replaced must not count for the entries that replaced them: a leader would
+// count a copy that is not on its disk.
+func TestSyncOfReplacedEntryDoesNotCount(t *testing.T) {
+	r := followerWithEntries(t, 1, 1)
+	now := simElectionMin
+	appendEntry := func(term uint64) {
+		r.Step(now, &wire.PeerMessage{From: "b", To: "a", Term: term, Body: &wire.PeerMessage_AppendRequest{
+			AppendRequest: &wire.AppendRequest{
+				PrevIndex: 1, PrevTerm: 1, Entries: []*wire.Entry{{Index: 2, Term: term, Kind: wire.EntryKind_ENTRY_KIND_COMMAND}},
+			},
+		}})
+		r.Ready()
+	}
+	appendEntry(2)
+	appendEntry(3)
+	r.MarkPersisted(2, 2, now)
+	require.EqualValues(t, 1, r.persisted)
+	r.MarkPersisted(2, 3, now)
+	require.EqualValues(t, 2, r.persisted)
+}
--- a/core/replicator/network_test.go
+++ b/core/replicator/network_test.go
@@ -88,6 +88,21 @@
 	historyHash uint64
 	// ledTerm is the newest term in which the oracle saw this node lead.
 	ledTerm uint64
+	// running is the batch that is being synced until syncEnd, or nil; next follows it. Used with slow disks only.
+	running *simBatch
+	next    simBatch
+	syncEnd time.Duration
+}
+
+// simBatch holds records that are synced together, and the messages that wait for them.
+type simBatch struct {
+	records             []*wire.JournalRecord
+	messages            []*wire.PeerMessage
+	lastIndex, lastTerm uint64
+}
+
+func (b *simBatch) hasHardState() bool {
+	return slices.ContainsFunc(b.records, func(r *wire.JournalRecord) bool { return r.GetHardState() != nil })
 }
 
 // delivery is a message in transit. seq orders messages that are due at the same time.
@@ -110,6 +125,8 @@
 	blocked map[link]bool
 	// faulty makes the network lose, duplicate and delay messages at random.
 	faulty bool
+	// slowDisks makes syncs take simulated time, during which nodes go on.
+	slowDisks bool
 	// paddingBytes is the number of bytes that follow the history hash in a snapshot's state.
 	paddingBytes int
 	oracle       oracle
@@ -158,6 +175,7 @@
 // start starts a node from its disk.
 func (n *network) start(node *simNode) {
 	node.down, node.paused, node.crash = false, false, noCrash
+	node.running, node.next = nil, simBatch{}
 	node.applied, node.historyHash = node.disk.base(), 0
 	if state := node.disk.snapshot.GetState(); len(state) > 0 {
 		node.historyHash = binary.LittleEndian.Uint64(state)
@@ -174,11 +192,18 @@
 
 // reopen discards unsynced records and keeps the applied state, as the controller does after a write to a full disk.
 func (n *network) reopen(node *simNode) {
+	node.running, node.next = nil, simBatch{}
 	node.repl = New(n.config(node), n.restored(node), n.clock(node))
 	node.repl.MarkApplied(node.applied)
 }
 
-func (n *network) stop(node *simNode) { node.down, node.repl = true, nil }
+// stop stops a node at once. The records that are being synced may or may not be on the disk.
+func (n *network) stop(node *simNode) {
+	if node.running != nil && n.rng.IntN(2) == 0 {
+		node.disk.append(node.running.records)
+	}
+	node.down, node.repl, node.running = true, nil, nil
+}
 
 func (n *network) isRunning(node *simNode) bool { return !node.down && !node.paused }
 
@@ -212,19 +237,21 @@
 			return
 		}
 		if ready.Install != nil {
+			n.drainSync(node)
+			if node.down {
+				return
+			}
 			node.disk.saveSnapshot(ready.Install, node.repl.HardState(), ready.Tail)
 			node.applied = ready.Install.GetMeta().GetIndex()
 			node.historyHash = binary.LittleEndian.Uint64(ready.Install.GetState())
 			n.oracle.checkHistory(n.t, node)
 		}
-		node.disk.append(ready.Records)
-		if node.crash == crashAfterSync {
-			n.stop(node)
-			return
+		n.enqueue(node, ready)
+		if !n.slowDisks {
+			n.finishSync(node)
 		}
-		node.repl.MarkPersisted(n.clock(node))
-		for _, msg := range ready.Messages {
-			n.send(msg)
+		if node.down {
+			return
 		}
 		for _, entry := range ready.Committed {
 			n.apply(node, entry)
@@ -233,6 +260,66 @@
 	}
 }
 
+// enqueue adds the records and the messages that wait for them to the node's next batch. With slow disks a leader sends
+// new entries before it has synced them, unless its hard state is not synced yet.
+func (n *network) enqueue(node *simNode, ready Ready) {
+	batch := simBatch{records: ready.Records}
+	early := n.slowDisks && ready.Install == nil && !batch.hasHardState() && !node.next.hasHardState() &&
+		(node.running == nil || !node.running.hasHardState())
+	for _, msg := range ready.Messages {
+		if early && msg.GetAppendRequest() != nil {
+			n.send(msg)
+			continue
+		}
+		node.next.messages = append(node.next.messages, msg)
+	}
+	node.next.records = append(node.next.records, ready.Records...)
+	node.next.lastIndex = node.repl.LastIndex()
+	node.next.lastTerm, _ = node.repl.TermAt(node.next.lastIndex)
+	n.startSync(node)
+}
+
+// startSync starts to sync the node's next batch unless a sync is running.
+func (n *network) startSync(node *simNode) {
+	if node.running != nil || len(node.next.records)+len(node.next.messages) == 0 {
+		return
+	}
+	batch := node.next
+	node.running, node.next, node.syncEnd = &batch, simBatch{}, n.now
+	if n.slowDisks && len(batch.records) > 0 {
+		node.syncEnd += time.Duration(n.rng.Int64N(int64(60 * time.Millisecond)))
+		if n.rng.IntN(40) == 0 {
+			node.syncEnd += 2 * time.Second
+		}
+	}
+}
+
+// finishSync ends the running sync and starts the next one.
+func (n *network) finishSync(node *simNode) {
+	batch := node.running
+	if batch == nil {
+		return
+	}
+	node.running = nil
+	node.disk.append(batch.records)
+	if node.crash == crashAfterSync {
+		n.stop(node)
+		return
+	}
+	node.repl.MarkPersisted(batch.lastIndex, batch.lastTerm, n.clock(node))
+	for _, msg := range batch.messages {
+		n.send(msg)
+	}
+	n.startSync(node)
+}
+
+// drainSync ends all syncs of a node.
+func (n *network) drainSync(node *simNode) {
+	for node.running != nil && !node.down {
+		n.finishSync(node)
+	}
+}
+
 func (n *network) apply(node *simNode, entry *wire.Entry) {
 	if entry.GetIndex() <= node.applied {
 		return
@@ -278,6 +365,9 @@
 	for end := n.now + d; n.now < end; {
 		n.deliverUntil(n.now + simTick)
 		for _, node := range n.nodes {
+			if n.isRunning(node) && node.running != nil && n.now >= node.syncEnd {
+				n.finishSync(node)
+			}
 			if n.isRunning(node) {
 				node.repl.Tick(n.clock(node))
 				n.processReady(node)
@@ -356,6 +446,10 @@
 
 // snapshot stores a snapshot at the node's applied index and compacts its log up to keep entries before that index.
 func (n *network) snapshot(node *simNode, keep uint64) {
+	n.drainSync(node)
+	if node.down {
+		return
+	}
 	term, ok := node.repl.TermAt(node.applied)
 	if !ok || node.applied == 0 || node.applied <= node.disk.base() {
 		return
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -74,8 +74,9 @@
 	Bootstrap *wire.Membership
 }
 
-// Ready is the pending work of a Replicator. The caller must do it in this order: store Install together with Tail,
-// sync Records, call MarkPersisted, send Messages, apply Committed.
+// Ready is the pending work of a Replicator. The caller must store Install together with Tail, then sync Records, call
+// MarkPersisted and send Messages in this order. Until a sync has ended, the caller may call Ready again and sync and
+// send its results after the earlier ones. It may apply Committed at any time, in order.
 type Ready struct {
 	// Tail holds the entries after Install that stay in the log.
 	Tail []*wire.Entry
@@ -340,9 +341,13 @@
 	return ready
 }
 
-// MarkPersisted records that everything returned by Ready so far is synced.
-func (r *Replicator) MarkPersisted(now time.Duration) {
-	r.persisted = r.log.lastIndex()
+// MarkPersisted records that the entries up to the one with the given index and term, and every hard state returned by
+// Ready before it, are synced. An entry that was replaced since then is ignored.
+func (r *Replicator) MarkPersisted(index, term uint64, now time.Duration) {
+	if current, ok := r.log.termAt(index); !ok || current != term {
+		return
+	}
+	r.persisted = max(r.persisted, index)
 	if r.role == leader {
 		r.advanceCommit(now)
 	}
