--- a/controld/internal/cell/snapshot.go
+++ b/controld/internal/cell/snapshot.go
@@ -68,6 +68,9 @@
 		c.restoreJob(s)
 	}
 	for _, run := range state.GetFinishedRuns() {
+		if len(run.GetIdHash()) != len(runHash{}) {
+			return nil, fmt.Errorf("hash of a finished run has %d bytes, want %d", len(run.GetIdHash()), len(runHash{}))
+		}
 		c.finished[runHash(run.GetIdHash())] = run.GetDay()
 	}
 	return c, nil
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -16,6 +16,8 @@
 	timeout   time.Duration
 	// call makes the call and returns a function that reports its outcome to the scheduler on the control goroutine.
 	call func(context.Context) func(time.Duration)
+	// notSent reports to the scheduler that the call was not made.
+	notSent func(time.Duration)
 	// limited is set for calls that are answered without delay, to which maxCallsInProgress applies. It is not set for
 	// renewals that wait at the worker for a run to end, or for consent requests.
 	limited bool
@@ -49,27 +51,30 @@
 		if o.limited {
 			c.callsInProgress++
 		}
-		c.sendOrder(o)
+		c.sendOrder(o, c.repl.LeaseEnd(now))
 	}
 }
 
 // collectOrders appends the scheduler's new orders to those that are not sent yet.
 func (c *Controller) collectOrders(s *scheduler.Scheduler, now time.Duration) {
 	work, config := s.Take(), c.cfg.Queues.Scheduler
-	add := func(timeout time.Duration, limited bool, call func(context.Context) func(time.Duration)) {
-		c.orders = append(c.orders, order{scheduler: s, timeout: timeout, call: call, limited: limited})
+	add := func(
+		timeout time.Duration, limited bool, call func(context.Context) func(time.Duration), notSent func(time.Duration),
+	) {
+		c.orders = append(c.orders, order{scheduler: s, timeout: timeout, call: call, notSent: notSent, limited: limited})
 	}
+	unsent := executor.Answer{Status: executor.NotSent}
 	for _, o := range work.Starts {
 		add(config.AnswerTimeout, true, func(ctx context.Context) func(time.Duration) {
 			answer := c.cfg.Queues.Executor.Start(ctx, o.To, o.Order)
 			return func(now time.Duration) { s.Started(o, answer, now) }
-		})
+		}, func(now time.Duration) { s.Started(o, unsent, now) })
 	}
 	for _, o := range work.Stops {
 		add(config.AnswerTimeout, true, func(ctx context.Context) func(time.Duration) {
 			answer := c.cfg.Queues.Executor.Stop(ctx, o.To, o.Order)
 			return func(now time.Duration) { s.Stopped(o, answer, now) }
-		})
+		}, func(now time.Duration) { s.Stopped(o, unsent, now) })
 	}
 	for _, o := range work.Renewals {
 		add(o.Order.Wait+config.AnswerTimeout, o.Order.Wait == 0, func(ctx context.Context) func(time.Duration) {
@@ -78,22 +83,28 @@
 			}
 			report, answer := c.cfg.Queues.Executor.Renew(ctx, o.To, o.Order)
 			return func(now time.Duration) { s.Renewed(o, report, answer, now) }
-		})
+		}, func(now time.Duration) { s.Renewed(o, executor.Report{}, unsent, now) })
 	}
 	for _, r := range work.ConsentRequests {
 		add(r.Timeout, false, func(ctx context.Context) func(time.Duration) {
 			answer, err := c.requestConsent(ctx, r)
 			return func(now time.Duration) { s.Consented(r, answer, err, now) }
-		})
+		}, func(now time.Duration) { s.Consented(r, executor.Consent{}, errNotSent, now) })
 	}
 }
 
-// sendOrder makes a call outside the control goroutine and returns its outcome as an event.
-func (c *Controller) sendOrder(o order) {
+// sendOrder makes a call outside the control goroutine and returns its outcome as an event. It does not send the order
+// if the process was paused until after leaseEnd: another leader may have taken over.
+func (c *Controller) sendOrder(o order, leaseEnd time.Duration) {
 	c.async(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
-		defer cancel()
-		deliver := o.call(ctx)
+		var deliver func(time.Duration)
+		if c.cfg.Clock.Now() >= leaseEnd {
+			deliver = o.notSent
+		} else {
+			ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
+			defer cancel()
+			deliver = o.call(ctx)
+		}
 		select {
 		case c.events <- schedulerEvent{o.scheduler, deliver, o.limited}:
 		case <-c.stopped:
@@ -121,4 +132,6 @@
 	return consent, nil
 }
 
+var errNotSent = fmt.Errorf("the leader lease ended before the request was sent")
+
 var errNoConsent = fmt.Errorf("the helper got no answer from the outside service")
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -28,6 +28,8 @@
 	running  map[executor.Run]string
 	done     map[executor.Run]bool
 	starts   int
+	// startOrders is the number of start orders that arrived.
+	startOrders int
 }
 
 type fakeWorker struct {
@@ -131,6 +133,7 @@
 
 // Start implements executor.Executor.
 func (f *fakeFleet) Start(_ context.Context, to executor.Address, o executor.Start) executor.Answer {
+	f.startOrders++
 	return f.withFaults(func() executor.Answer { return f.start(to.Worker, o) })
 }
 
@@ -423,3 +426,30 @@
 	}
 	require.Equal(t, workers, contacted, "all workers hear from the new leader")
 }
+
+// Guards against a leader that was paused between its decision and the sending of an order: its lease had ended
+// meanwhile, and it sent the order although another leader had taken over.
+func TestOrderIsNotSentAfterLease(t *testing.T) {
+	f := newFakeFleet(t, 1, 1)
+	g := newGroupWithQueues(t, 3, f.config())
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	for name := range f.workers {
+		g.callUntilOK(workerCall(name))
+	}
+	g.run(2 * time.Second)
+	leader := g.leader()
+	var paused []func()
+	leader.ctl.async = func(call func()) { paused = append(paused, call) }
+	g.callUntilOK(submitCall(1))
+	g.run(10 * testTick)
+	require.NotEmpty(t, paused)
+	leader.down = true
+	g.run(10 * time.Second)
+	// The next leader has sent orders of its own.
+	f.startOrders = 0
+	for _, call := range paused {
+		call()
+	}
+	require.Zero(t, f.startOrders)
+}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -12,6 +12,7 @@
 	ReloadFailed     = define(1007, slog.LevelWarn, "changed settings are invalid; the ones before stay in force")
 	LeaderFound      = define(1008, slog.LevelInfo, "a leader answers")
 	LeaderMissing    = define(1009, slog.LevelWarn, "no leader answers")
+	RequestPanicked  = define(1010, slog.LevelError, "the handling of a request panicked; only that request ends")
 	Fatal            = define(1005, slog.LevelError, "program stops after an error it cannot recover from")
 )
 
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -8,14 +8,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"flamingodrift.example/core/codec"
+	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
 )
 
@@ -72,6 +75,8 @@
 	// silently fails is closed within twice this time. Otherwise TCP's retransmission back-off would stall it for
 	// minutes after the network has recovered.
 	KeepAlive time.Duration
+	// Logger receives the panics of Handler; nil discards them.
+	Logger *slog.Logger
 }
 
 // Messenger sends requests to peers and serves theirs. It is safe for concurrent use.
@@ -104,6 +109,9 @@
 	if cfg.KeepAlive == 0 {
 		cfg.KeepAlive = defaultKeepAlive
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = slog.New(slog.DiscardHandler)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Messenger{
 		cfg: cfg, ctx: ctx, cancel: cancel,
@@ -414,7 +422,10 @@
 		if err != nil {
 			return
 		}
-		reply := m.cfg.Handler(m.ctx, request)
+		reply, ok := m.handle(request)
+		if !ok {
+			return
+		}
 		if reply == nil {
 			continue
 		}
@@ -424,6 +435,18 @@
 	}
 }
 
+// handle calls the handler. It returns false after a panic, which then ends only this request: the caller gets no reply,
+// as the handler may have had an effect.
+func (m *Messenger) handle(request *wire.Request) (reply *wire.Reply, ok bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			logger.RequestPanicked.Log(m.cfg.Logger, "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			reply, ok = nil, false
+		}
+	}()
+	return m.cfg.Handler(m.ctx, request), true
+}
+
 // Close closes all sessions. It does not wait for handlers.
 func (m *Messenger) Close() {
 	m.cancel()
--- a/core/messenger/messenger_test.go
+++ b/core/messenger/messenger_test.go
@@ -255,3 +255,22 @@
 	close(release)
 	require.NoError(t, <-slow)
 }
+
+// TestPanicEndsOneRequest guards against one unexpected request that ends the whole process and with it all other
+// requests in progress.
+func TestPanicEndsOneRequest(t *testing.T) {
+	var calls atomic.Int32
+	address := serve(t, func(ctx context.Context, request *wire.Request) *wire.Reply {
+		if calls.Add(1) == 1 {
+			panic("unexpected")
+		}
+		return answer(ctx, request)
+	})
+	m := client(t, "right")
+	_, err := m.Call(context.Background(), address, join())
+	var failed *messenger.Error
+	require.ErrorAs(t, err, &failed)
+	require.True(t, failed.Sent, "the handler may have had an effect")
+	_, err = m.Call(context.Background(), address, join())
+	require.NoError(t, err)
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -270,6 +270,14 @@
 	return now < r.leaseEnd(now)
 }
 
+// LeaseEnd returns when the lease of this leader ends unless it is extended; 0 without a lease.
+func (r *Replicator) LeaseEnd(now time.Duration) time.Duration {
+	if !r.HasLease(now) {
+		return 0
+	}
+	return r.leaseEnd(now)
+}
+
 // leaseEnd returns the end of the lease. It counts from the sending of the messages that a majority answered.
 func (r *Replicator) leaseEnd(now time.Duration) time.Duration {
 	duration := r.cfg.ElectionMin * time.Duration(100-r.cfg.DriftPercent) / 100
--- a/frontd/daemon.go
+++ b/frontd/daemon.go
@@ -65,6 +65,7 @@
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.messenger = messenger.New(messenger.Config{
 		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle, KeepAlive: keepAliveInterval,
+		Logger: log,
 	})
 	d.leader = locator.New(
 		locator.Config{Messenger: d.messenger, Controls: loader.SamePortAddresses(cfg.Seeds, cfg.Address)})
