--- a/controld/internal/scheduler/consent.go
+++ b/controld/internal/scheduler/consent.go
@@ -22,6 +22,8 @@
 	shortCallHelperDivisor = 3
 	// helperTimeout is how long after its last heartbeat a helper is still used.
 	helperTimeout = 3 * time.Second
+	// helperRetention is how long after its last heartbeat a helper's calls in progress are remembered.
+	helperRetention = time.Minute
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer used, because an order may take that long to
 	// arrive.
 	ticketExpiryMargin = 150 * time.Millisecond
@@ -33,7 +35,7 @@
 	// minRequestInterval is the minimum time between two consent requests for one step.
 	minRequestInterval = 250 * time.Millisecond
 	// gangCapacityShare is the share of a worker's capacity that a gang can expect to get soon while the cell is busy.
-	gangCapacityShare = 0.3
+	gangCapacityShare = 0.18
 	// minWorkersPerGangRequest is the minimum number of workers requested for a gang. Below it, the call duration hardly
 	// depends on the number of workers.
 	minWorkersPerGangRequest = 24
@@ -82,6 +84,11 @@
 		delete(sc.helpers, beat.GetName())
 		return
 	}
+	for name, h := range sc.helpers {
+		if now-h.lastBeatAt > helperRetention {
+			delete(sc.helpers, name)
+		}
+	}
 	h := sc.helpers[beat.GetName()]
 	if h == nil {
 		h = &helper{}
@@ -342,13 +349,17 @@
 
 // enoughIdleHelpers reports whether enough helpers are idle for requests of late steps.
 func (sc *Scheduler) enoughIdleHelpers(now time.Duration) bool {
-	idle := 0
+	idle, live := 0, 0
 	for _, h := range sc.helpers {
+		if now-h.lastBeatAt >= helperTimeout {
+			continue
+		}
+		live++
 		if h.busyUntil <= now {
 			idle++
 		}
 	}
-	return float64(idle) >= minIdleHelperShare*float64(len(sc.helpers))
+	return float64(idle) >= minIdleHelperShare*float64(live)
 }
 
 // chooseHelper returns the helper that becomes free first, or the empty string if the call would wait for longer than
--- a/controld/internal/scheduler/consent_test.go
+++ b/controld/internal/scheduler/consent_test.go
@@ -98,6 +98,24 @@
 	require.Len(t, h.Take().ConsentRequests, 1)
 }
 
+// TestSilentHelpersAreNotIdle guards against counting helpers that died without notice as idle: late steps would take
+// the helpers that live from steps that can still meet their objective, and the names of the dead would be kept for the
+// rest of the term.
+func TestSilentHelpersAreNotIdle(t *testing.T) {
+	h := newConsentHarness(t, 10, 4)
+	for _, name := range []string{"e0", "e1"} {
+		h.helpers[name].lastBeatAt = h.now - helperTimeout
+	}
+	require.True(t, h.enoughIdleHelpers(h.now))
+	for _, name := range []string{"e2", "e3"} {
+		h.helpers[name].busyUntil = h.now + time.Second
+	}
+	require.False(t, h.enoughIdleHelpers(h.now))
+	h.RecordHelperBeat(&wire.HelperBeat{Name: "e3", Address: "e3:1"}, h.now+helperRetention-helperTimeout+time.Second)
+	require.NotContains(t, h.helpers, "e0")
+	require.Contains(t, h.helpers, "e3")
+}
+
 // grantTickets grants a step tickets for workers until a given time.
 func (h *harness) grantTickets(step *batch.Step, until time.Duration, workers ...string) {
 	for _, w := range workers {
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -50,8 +50,8 @@
 // The minimum time until the next round grows with each step that the last round considered and with each gang that it
 // planned. It leaves the control goroutine time for other work.
 const (
-	roundIntervalPerStep = 250 * time.Microsecond
-	roundIntervalPerGang = 750 * time.Microsecond
+	roundIntervalPerStep = 100 * time.Microsecond
+	roundIntervalPerGang = 250 * time.Microsecond
 )
 
 // round is the input of one scheduling round, with the tables that translate its result.
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -139,6 +139,38 @@
 	return l
 }
 
+// fleetLoad uses nine tenths of the capacity of 540 workers, of whose processors gangs ask for about half. A burst of
+// short jobs and one of gangs ask for more than there is.
+func fleetLoad() load {
+	return load{
+		workers: 540, helpers: 102, length: 34 * time.Second,
+		kinds: []jobKind{
+			{
+				name: "gangs", priority: 1, perSecond: 9.15, steps: 1.2, tasks: 20, cores: 9, memoryMB: 2900,
+				runTime: 4 * time.Second, stretch: 2.2, allowance: time.Second, attempts: 2, gangShare: 1, checkpointShare: 0.5,
+				value:   6.83,
+				consent: &wire.ConsentPolicy{CallMs: 507, WorkerMs: 7.28, ValidMs: 2000}, grantedShare: 0.3,
+			},
+			{
+				name: "batch", priority: 2, perSecond: 12.2, steps: 1.5, tasks: 19, cores: 5.5, memoryMB: 3640,
+				runTime: 2700 * time.Millisecond, stretch: 4, allowance: 3 * time.Second, attempts: 4, checkpointShare: 0.8,
+				value:   3.19,
+				consent: &wire.ConsentPolicy{CallMs: 182, WorkerMs: 2.6, ValidMs: 2000}, grantedShare: 0.45,
+			},
+			{
+				name: "short", priority: 0, perSecond: 135, steps: 1, tasks: 3.1, cores: 7.9, memoryMB: 2900,
+				runTime: 640 * time.Millisecond, stretch: 1.5, allowance: 250 * time.Millisecond, attempts: 3, gangShare: 0.3,
+				value:   0.404,
+				consent: &wire.ConsentPolicy{CallMs: 16.9, WorkerMs: 0.234, ValidMs: 2000}, grantedShare: 0.7,
+			},
+		},
+		bursts: []burst{
+			{kind: "short", from: 9 * time.Second, until: 13 * time.Second, factor: 2},
+			{kind: "gangs", from: 19 * time.Second, until: 23 * time.Second, factor: 1.8},
+		},
+	}
+}
+
 // servedShares returns the share of a kind's jobs that were completed within three times their objective: of all jobs,
 // and of the largest tenth by work.
 func (r *replay) servedShares(kind int) (all, largest float64) {
@@ -174,26 +206,29 @@
 	handover := standardLoad()
 	handover.handover = 12 * time.Second
 	tests := []struct {
-		name string
-		load load
+		name  string
+		load  load
+		seeds int
 	}{
-		{"bursts at four fifths of the capacity", standardLoad()},
-		{"a fifth of the workers are lost", lost},
-		{"another leader takes over", handover},
-		{"bursts at nine tenths of the capacity of many workers", largeLoad()},
-		{"many workers, of which some are lost, and another leader", lossAndHandoverLoad()},
+		{"bursts at four fifths of the capacity", standardLoad(), replaySeeds},
+		{"a fifth of the workers are lost", lost, replaySeeds},
+		{"another leader takes over", handover, replaySeeds},
+		{"bursts at nine tenths of the capacity of many workers", largeLoad(), replaySeeds},
+		{"many workers, of which some are lost, and another leader", lossAndHandoverLoad(), replaySeeds},
+		// Its largest tenth of one seed is as many jobs as those of the others.
+		{"bursts at nine tenths of the capacity of a large fleet", fleetLoad(), 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			replays := runReplays(test.load, replaySeeds)
+			replays := runReplays(test.load, test.seeds)
 			for i, k := range test.load.kinds {
 				var s kindResult
 				var all, largest float64
 				for _, r := range replays {
 					s.add(r.results[i])
 					allOfSeed, largestOfSeed := r.servedShares(i)
-					all, largest = all+allOfSeed/replaySeeds, largest+largestOfSeed/replaySeeds
+					all, largest = all+allOfSeed/float64(test.seeds), largest+largestOfSeed/float64(test.seeds)
 				}
 				t.Logf("%s: value share %.3f of %d jobs, %d in time, %d late, %d rejected; completed %.3f, the largest tenth %.3f",
 					k.name, s.valueShare(), s.jobs, s.inTime, s.late, s.rejected, all, largest)
