--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -150,6 +150,8 @@
 	stopped chan struct{}
 
 	status atomic.Pointer[Status]
+	// lease is nil while this node does not lead.
+	lease atomic.Pointer[orderLease]
 	// async runs a blocking call outside the control goroutine; asyncSync does the same for a sync of the journal.
 	async     func(call func())
 	asyncSync func(sync func())
--- a/controld/internal/controller/disk.go
+++ b/controld/internal/controller/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
 	"flamingodrift.example/controld/internal/cell"
@@ -158,6 +159,12 @@
 		c.setDiskFull(true)
 		return nil
 	}
+	if errors.Is(err, syscall.EMFILE) {
+		// The journal is complete without the snapshot, and files become free as connections are closed.
+		c.snapshotRetryAt = now + diskFullBackoff
+		logger.SnapshotPostponed.Log(c.cfg.Logger, "error", err.Error())
+		return nil
+	}
 	return err
 }
 
--- a/controld/internal/controller/failure_test.go
+++ b/controld/internal/controller/failure_test.go
@@ -106,6 +106,25 @@
 	require.EqualValues(t, 1, node.ctl.cell.Revision())
 }
 
+// A process that has used up its file descriptors must go on and store its snapshot later. Seen in a sweep with 1,000
+// workers, where idle connections had used them up and the leader ended itself.
+func TestSnapshotWithoutFileDescriptorsIsPostponed(t *testing.T) {
+	g := newGroup(t, 1)
+	node := g.leader()
+	a := g.change(node, 10)
+	g.run(testTick)
+	require.Equal(t, changeResult{answered: true}, *a)
+	node.ctl.cfg.SnapshotBytes = 1
+	node.noFiles, node.opens = true, 0
+	g.run(5 * time.Second)
+	require.NoError(t, node.stopped)
+	require.LessOrEqual(t, node.opens, 15, "it is not retried in each iteration")
+	require.Equal(t, node, g.leader())
+	node.noFiles = false
+	g.run(2 * time.Second)
+	require.Contains(t, node.log.String(), logger.SnapshotStored.Code())
+}
+
 // A leader without disk space must hand leadership to a voter that has some, and keep it when there is none.
 func TestLeaderWithFullDiskHandsOver(t *testing.T) {
 	g := newGroup(t, 3)
--- a/controld/internal/controller/group_test.go
+++ b/controld/internal/controller/group_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -61,6 +62,8 @@
 	fullFiles string
 	opens     int
 	freeBytes int64
+	// noFiles makes every opening of a file fail for lack of file descriptors.
+	noFiles bool
 	// syncDuration is how long a sync of the journal blocks the control goroutine.
 	syncDuration time.Duration
 	// stopped is the error that ended the control goroutine.
@@ -145,6 +148,9 @@
 // open is the journal.Opener of the node's data folder.
 func (n *testNode) open(path string) (journal.File, error) {
 	n.opens++
+	if n.noFiles {
+		return nil, &fs.PathError{Op: "open", Path: path, Err: syscall.EMFILE}
+	}
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	return &limitedFile{File: file, node: n, name: filepath.Base(path)}, err
 }
--- a/controld/internal/controller/leader.go
+++ b/controld/internal/controller/leader.go
@@ -61,6 +61,7 @@
 		return
 	}
 	c.leading = false
+	c.lease.Store(nil)
 	c.lessor, c.planner, c.workerEvents, c.inFlight, c.scheduler, c.orders = nil, nil, nil, nil, nil, nil
 	logger.LeaderStopped.Log(c.cfg.Logger, "term", c.leaderTerm)
 }
--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -38,6 +38,7 @@
 	if s == nil || !c.repl.HasLease(now) {
 		return
 	}
+	c.lease.Store(&orderLease{scheduler: s, end: c.repl.LeaseEnd(now)})
 	c.collectOrders(s, now)
 	for len(c.orders) > 0 {
 		o := c.orders[0]
@@ -51,7 +52,7 @@
 		if o.limited {
 			c.callsInProgress++
 		}
-		c.sendOrder(o, c.repl.LeaseEnd(now))
+		c.sendOrder(o)
 	}
 }
 
@@ -93,14 +94,25 @@
 	}
 }
 
-// sendOrder makes a call outside the control goroutine and returns its outcome as an event. It does not send the order
-// if the process was paused until after leaseEnd: another leader may have taken over.
-func (c *Controller) sendOrder(o order, leaseEnd time.Duration) {
+// orderLease is the permission to send the orders of a scheduler until the end of the leader lease. Other goroutines
+// read it.
+type orderLease struct {
+	scheduler *scheduler.Scheduler
+	end       time.Duration
+}
+
+// maySend reports whether the leader lease covers the sending of an order. A process that was paused after the decision
+// may have lost it meanwhile, and another leader may have taken over.
+func (c *Controller) maySend(o order) bool {
+	lease := c.lease.Load()
+	return lease != nil && lease.scheduler == o.scheduler && c.cfg.Clock.Now() < lease.end
+}
+
+// sendOrder makes a call outside the control goroutine and returns its outcome as an event.
+func (c *Controller) sendOrder(o order) {
 	c.async(func() {
-		var deliver func(time.Duration)
-		if c.cfg.Clock.Now() >= leaseEnd {
-			deliver = o.notSent
-		} else {
+		deliver := o.notSent
+		if c.maySend(o) {
 			ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
 			defer cancel()
 			deliver = o.call(ctx)
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -29,6 +29,7 @@
 	MemberReplaced    = define(2009, slog.LevelWarn, "silent voter is replaced by a node that has caught up")
 	SlowDisk          = define(2010, slog.LevelWarn, "leader hands over leadership because its disk is slower than those of the other voters")
 	SyncFailed        = define(2011, slog.LevelError, "the last sync before the process stopped failed")
+	SnapshotPostponed = define(2012, slog.LevelError, "too many open files; the snapshot is stored later")
 	WorkerRegistered  = define(2101, slog.LevelInfo, "worker registered")
 	WorkerLost        = define(2102, slog.LevelWarn, "worker lease ran out; its tasks are placed anew")
 	PollRefused       = define(2103, slog.LevelWarn, "worker poll refused")
