scheduler: a gang that waits for a silent member is not blamed on the workers of the others

Change: such a run is still stopped, but its worker is not paused. The log line says member_missing. Test: TestMissingMemberIsNotBlamedOnOthers (failed before).

--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -156,12 +156,32 @@
 	}
 	logger.RunStuck.Log(sc.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
 		"run", r.number, "worker", s.incarnation.Worker(), "percent", r.percent,
-		"still_ms", (now - r.progressAt).Milliseconds())
-	s.failureStreak = max(s.failureStreak, unprovenStreak-1)
-	sc.recordFailure(s, now)
+		"still_ms", (now - r.progressAt).Milliseconds(), "member_missing", sc.memberMissing(t.Step()))
+	if !sc.memberMissing(t.Step()) {
+		s.failureStreak = max(s.failureStreak, unprovenStreak-1)
+		sc.recordFailure(s, now)
+	}
 	sc.stopRun(s, t, r, now)
 }
 
+// memberMissing reports whether a member of a gang has not started for certain or is on a worker that does not answer.
+// The other members then make no progress, through no fault of their workers.
+func (sc *Scheduler) memberMissing(step *batch.Step) bool {
+	if !step.Spec().GetGang() {
+		return false
+	}
+	for _, t := range step.Tasks() {
+		if t.Incarnation() == nil {
+			continue
+		}
+		s := sc.currentSession(t.Incarnation())
+		if s == nil || s.unreachable || s.runs[t] == nil || !s.runs[t].confirmed {
+			return true
+		}
+	}
+	return false
+}
+
 func (sc *Scheduler) confirmRun(r *run, now time.Duration) {
 	if !r.confirmed {
 		r.confirmed, r.confirmedAt = true, now
--- a/controld/internal/scheduler/scheduler_test.go
+++ b/controld/internal/scheduler/scheduler_test.go
@@ -393,6 +393,53 @@
 	}
 }
 
+// TestMissingMemberIsNotBlamedOnOthers guards against pausing sound workers because a gang on them waits for a member on
+// a worker that does not answer. Seen on kapana-chairs-large, day scale-1: with a fifth of the workers cut off, gangs made
+// further workers pause, and short jobs found no room for two seconds.
+func TestMissingMemberIsNotBlamedOnOthers(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		silent, paused bool
+	}{
+		{"a member's worker does not answer", true, false},
+		{"all members started and stand still", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil, "w1", "w2")
+			h.connectWorkers()
+			h.submit(&wire.JobStep{Count: 2, CpuMillis: 5000, Gang: true, EstimateMs: 2000})
+			h.advance(0)
+			starts := h.work.Starts
+			h.work.Starts = nil
+			require.Len(t, starts, 2)
+			require.NotEqual(t, starts[0].To.Worker, starts[1].To.Worker)
+			running := map[string][]executor.Running{}
+			for _, o := range starts {
+				running[o.To.Worker] = []executor.Running{{Run: o.Order.Run}}
+				if o.To.Worker == "w1" || !test.silent {
+					h.Started(o, h.answer(executor.Done), h.now)
+				}
+			}
+			for range 3 {
+				h.advance(time.Second)
+				renewals := h.work.Renewals
+				h.work.Renewals = nil
+				for _, o := range renewals {
+					worker := o.Incarnation.Worker()
+					if worker == "w2" && test.silent {
+						h.Renewed(o, executor.Report{}, executor.Answer{}, h.now)
+						continue
+					}
+					h.Renewed(o, executor.Report{StartedUnixMs: 1, Running: running[worker]}, h.answer(executor.Done), h.now)
+				}
+			}
+			h.advance(time.Millisecond)
+			require.NotEmpty(t, h.work.Stops, "the gang must not hold its capacity for ever")
+			require.Equal(t, test.paused, h.sessions["w1"].pausedUntil > h.now)
+		})
+	}
+}
+
 // TestFailingWorker guards that a worker on which every run fails does not use up the attempts of a job.
 func TestFailingWorker(t *testing.T) {
 	h := newHarness(t, nil, "w1")
