--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -190,7 +190,8 @@
 	c := &Controller{
 		cfg: cfg, events: make(chan event, eventQueueCapacity), waiters: map[uint64]waiter{},
 		knownAddresses: map[string]string{}, cell: cell.New(),
-		async: func(call func()) { go call() }, asyncSync: func(sync func()) { go sync() }, stopped: make(chan struct{}), sleep: time.Sleep,
+		async: func(call func()) { go call() }, asyncSync: func(sync func()) { go sync() },
+		stopped: make(chan struct{}), sleep: time.Sleep,
 		disk: diskSync{done: make(chan error, 1)},
 	}
 	c.status.Store(&Status{Role: "follower"})
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -154,10 +154,11 @@
 	if brokenGang(t.Step()) {
 		return
 	}
+	missing := sc.memberMissing(t.Step())
 	logger.RunStuck.Log(sc.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
 		"run", r.number, "worker", s.incarnation.Worker(), "percent", r.percent,
-		"still_ms", (now - r.progressAt).Milliseconds(), "member_missing", sc.memberMissing(t.Step()))
-	if !sc.memberMissing(t.Step()) {
+		"still_ms", (now - r.progressAt).Milliseconds(), "member_missing", missing)
+	if !missing {
 		s.failureStreak = max(s.failureStreak, unprovenStreak-1)
 		sc.recordFailure(s, now)
 	}
