Work out the leader lease once in each turn of the control loop

Cause: read of the change. sendOrders asked HasLease and then LeaseEnd, which asked HasLease and leaseEnd again: three times the same computation, with a sort, in each turn of the leader's loop. Ruled out: a change of behaviour; HasLease is now defined by LeaseEnd, with the same conditions.

--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -35,10 +35,14 @@
 // without the leader lease.
 func (c *Controller) sendOrders(now time.Duration) {
 	s := c.scheduler
-	if s == nil || !c.repl.HasLease(now) {
+	if s == nil {
 		return
 	}
-	c.lease.Store(&orderLease{scheduler: s, end: c.repl.LeaseEnd(now)})
+	end := c.repl.LeaseEnd(now)
+	if now >= end {
+		return
+	}
+	c.lease.Store(&orderLease{scheduler: s, end: end})
 	c.collectOrders(s, now)
 	for len(c.orders) > 0 {
 		o := c.orders[0]
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -263,16 +263,11 @@
 // HasLease reports whether this node leads, has committed an entry of its own term, and holds the leader lease: a
 // majority of voters answered messages that it sent within the last ElectionMin less the clock drift. While the lease
 // lasts, no other node can be elected.
-func (r *Replicator) HasLease(now time.Duration) bool {
-	if r.role != leader || r.commit < r.termStartIndex {
-		return false
-	}
-	return now < r.leaseEnd(now)
-}
+func (r *Replicator) HasLease(now time.Duration) bool { return now < r.LeaseEnd(now) }
 
-// LeaseEnd returns when the lease of this leader ends unless it is extended; 0 without a lease.
+// LeaseEnd returns when the lease of this leader ends unless it is extended. Without a lease, that is not after now.
 func (r *Replicator) LeaseEnd(now time.Duration) time.Duration {
-	if !r.HasLease(now) {
+	if r.role != leader || r.commit < r.termStartIndex {
 		return 0
 	}
 	return r.leaseEnd(now)
