--- /dev/null
+++ b/controld/internal/scheduler/crash_test.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Timing of a simulated worker that crashes.
+const (
+	crashDelay   = 10 * time.Millisecond
+	restartDelay = 3100 * time.Millisecond
+	// crashLimit is the number of crashed workers after which a task may be started fewer than maxStartsAfterLimit times.
+	crashLimit          = 3
+	maxStartsAfterLimit = 3
+)
+
+// TestCrashingTasksAreGivenUp guards against starting a task without end that crashes each worker that starts it, also
+// when another leader takes over meanwhile, and against giving up sound jobs whose tasks ran beside it.
+func TestCrashingTasksAreGivenUp(t *testing.T) {
+	tests := []struct {
+		name     string
+		kind     string
+		share    float64
+		handover time.Duration
+	}{
+		{"short jobs", "short", 0.1, 0},
+		{"short jobs and another leader", "short", 0.1, 12 * time.Second},
+		{"gangs", "gangs", 0.5, 0},
+		{"gangs and another leader", "gangs", 0.5, 12 * time.Second},
+		{"batch", "batch", 0.3, 12 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			l := standardLoad()
+			l.bursts, l.handover = nil, test.handover
+			l.crashes = crashes{kind: test.kind, from: 5 * time.Second, until: 15 * time.Second, share: test.share}
+			for _, r := range runReplays(l, replaySeeds) {
+				crashing, failed := 0, 0
+				for _, j := range r.jobs {
+					if j.crashesWorkers {
+						crashing++
+						if j.failed {
+							failed++
+						}
+						for _, task := range j.tasks {
+							require.Less(t, task.startsAfterLimit, maxStartsAfterLimit, "job %s is started again and again", j.id)
+						}
+						continue
+					}
+					require.False(t, j.failed, "the sound job %s is given up", j.id)
+				}
+				for i, k := range l.kinds {
+					t.Logf("%s: value share %.3f", k.name, r.results[i].valueShare())
+				}
+				t.Logf("%d of %d crashing jobs failed, %d workers crashed and lost %d runs; longest wait while workers were idle: %v",
+					failed, crashing, r.crashes, r.lostRuns, r.longestIdleWait)
+			}
+		})
+	}
+}
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -30,7 +30,12 @@
 	speed         float64
 	startedUnixMs int64
 	unreachable   bool
-	runs          map[executor.Run]*replayRun
+	// address is that of the process, which a successor takes over after a crash.
+	address string
+	crashed bool
+	// successor is the worker that runs at the address since the crash; nil until it is up.
+	successor *replayWorker
+	runs      map[executor.Run]*replayRun
 	ended         []executor.Ended
 	lastEnd       uint64
 	token         uint64
@@ -52,6 +57,11 @@
 	checkpoints bool
 	length      time.Duration
 	count       int
+	// crashesWorker makes each worker that starts the task crash.
+	crashesWorker bool
+	// crashes counts the workers that crashed because of the task, and startsAfterLimit its starts after
+	// crashLimit crashes.
+	crashes, startsAfterLimit int
 }
 
 // replayJob is a submitted job with its objective and the value of completing it.
@@ -66,6 +76,9 @@
 	done      bool
 	took      time.Duration
 	work      float64
+	// crashesWorkers is set when one of the tasks crashes its workers, so that the job cannot be completed.
+	crashesWorkers bool
+	failed         bool
 }
 
 // replay runs a load against a Scheduler in simulated time.
@@ -87,6 +100,8 @@
 	results         []kindResult
 	// submitted is the number of jobs so far.
 	submitted int
+	// crashes counts the crashed workers, and lostRuns the runs that they lost.
+	crashes, lostRuns int
 }
 
 func newReplay(l load, seed uint64) *replay {
@@ -107,7 +122,7 @@
 	for i := range l.workers {
 		w := &replayWorker{
 			name: fmt.Sprintf("w%03d", i), speed: []float64{0.8, 1, 1.25}[i%3], startedUnixMs: 1,
-			runs: map[executor.Run]*replayRun{},
+			address: fmt.Sprintf("a%03d:1", i), runs: map[executor.Run]*replayRun{},
 		}
 		r.workers[w.name] = w
 		r.workerNames = append(r.workerNames, w.name)
@@ -119,7 +134,7 @@
 
 func (r *replay) report(w *replayWorker) *wire.WorkerLife {
 	return &wire.WorkerLife{
-		Worker: w.name, BornUnixMs: w.startedUnixMs, Address: w.name + ":1", Pool: "p", CpuMillis: 32_000, MemoryMb: 131_072,
+		Worker: w.name, BornUnixMs: w.startedUnixMs, Address: w.address, Pool: "p", CpuMillis: 32_000, MemoryMb: 131_072,
 		Rack: w.name[:3],
 	}
 }
@@ -178,7 +193,7 @@
 		}
 	}
 	for _, j := range r.jobs {
-		if !j.done {
+		if !j.done && !j.crashesWorkers {
 			r.results[j.kind].tooLate++
 		}
 	}
@@ -236,15 +251,24 @@
 	}
 	work := r.Take()
 	for _, o := range work.Starts {
+		if r.rejectedByHost(o.To.Worker, func(answer executor.Answer) { sc.Started(o, answer, r.now) }, sc) {
+			continue
+		}
 		r.after(orderDelay, func() { r.ifCurrent(sc, func() { sc.Started(o, r.workerStart(o), r.now) }) })
 	}
 	for _, o := range work.Stops {
+		if r.rejectedByHost(o.To.Worker, func(answer executor.Answer) { sc.Stopped(o, answer, r.now) }, sc) {
+			continue
+		}
 		r.after(orderDelay, func() { r.ifCurrent(sc, func() { sc.Stopped(o, r.workerStop(o), r.now) }) })
 	}
 	for _, o := range work.Renewals {
+		if r.rejectedByHost(o.To.Worker, func(answer executor.Answer) { sc.Renewed(o, executor.Report{}, answer, r.now) }, sc) {
+			continue
+		}
 		r.after(orderDelay, func() {
 			w := r.workers[o.To.Worker]
-			if w.unreachable || w.startedUnixMs != o.Incarnation.StartedUnixMs() {
+			if w.unreachable || w.crashed || w.startedUnixMs != o.Incarnation.StartedUnixMs() {
 				r.after(o.Order.Wait+400*time.Millisecond, func() {
 					r.answerRenewal(sc, o, executor.Report{}, executor.Answer{})
 				})
@@ -274,6 +298,11 @@
 func (r *replay) commit(command *wire.QueueCommand) {
 	_, effect := r.batch.Apply(command)
 	r.Applied(effect, r.now)
+	for id, job := range r.jobs {
+		if j := r.batch.Job(id); j != nil && j.Phase() == wire.JobPhase_JOB_PHASE_FAILED {
+			job.failed = true
+		}
+	}
 	for _, j := range effect.Ended {
 		job := r.jobs[j.Task.Step().Job().ID()]
 		if job != nil && !job.done && j.Task.Step().Job().Phase() == wire.JobPhase_JOB_PHASE_COMPLETED {
@@ -308,6 +337,9 @@
 	r.after(at-r.now+2*orderDelay, func() {
 		answer := executor.Consent{}
 		for _, w := range request.Workers {
+			if _, drawn := granted[w]; !drawn {
+				granted[w] = r.rand.Float64() < r.load.kinds[r.jobs[request.Step.Job().ID()].kind].grantedShare
+			}
 			if granted[w] {
 				answer.Tickets = append(answer.Tickets, executor.Ticket{Worker: w, Ticket: "t"})
 			}
@@ -322,7 +354,7 @@
 
 func (r *replay) workerStart(o StartOrder) executor.Answer {
 	w := r.workers[o.To.Worker]
-	if w.unreachable || w.startedUnixMs != o.Incarnation.StartedUnixMs() {
+	if w.unreachable || w.crashed || w.startedUnixMs != o.Incarnation.StartedUnixMs() {
 		return executor.Answer{}
 	}
 	if o.Order.Token < w.token {
@@ -344,9 +376,52 @@
 	if !t.gang {
 		run.running, run.runningSince = true, r.now
 	}
+	if t.crashes >= crashLimit {
+		t.startsAfterLimit++
+	}
+	if t.crashesWorker {
+		t.crashes++
+		r.after(crashDelay, func() { r.crash(w) })
+	}
 	return r.answer(executor.Done)
 }
 
+// crash ends the process of a worker; its successor has another name and the same address.
+func (r *replay) crash(w *replayWorker) {
+	if w.crashed {
+		return
+	}
+	sc := r.Scheduler
+	r.crashes, r.lostRuns = r.crashes+1, r.lostRuns+len(w.runs)
+	for _, waiting := range w.renewals {
+		r.after(orderDelay, func() { r.answerRenewal(sc, waiting.order, executor.Report{}, executor.Answer{}) })
+	}
+	w.crashed, w.renewals, w.runs, w.ended = true, nil, map[executor.Run]*replayRun{}, nil
+	r.after(restartDelay, func() {
+		next := &replayWorker{
+			name: fmt.Sprintf("w%03d", len(r.workerNames)), speed: w.speed, startedUnixMs: w.startedUnixMs + 1,
+			address: w.address, runs: map[executor.Run]*replayRun{},
+		}
+		w.successor, r.workers[next.name] = next, next
+		r.workerNames = append(r.workerNames, next.name)
+		r.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{r.report(next)}})
+	})
+}
+
+// rejectedByHost answers an order to a crashed worker: until its successor runs, nothing listens at its address.
+func (r *replay) rejectedByHost(worker string, answer func(executor.Answer), sc *Scheduler) bool {
+	w := r.workers[worker]
+	if !w.crashed {
+		return false
+	}
+	status := executor.NotSent
+	if w.successor != nil {
+		status = executor.OtherIncarnation
+	}
+	r.after(orderDelay, func() { r.ifCurrent(sc, func() { answer(executor.Answer{Status: status}) }) })
+	return true
+}
+
 func (r *replay) workerStop(o StopOrder) executor.Answer {
 	w := r.workers[o.To.Worker]
 	if w.unreachable || w.startedUnixMs != o.Incarnation.StartedUnixMs() {
@@ -491,6 +566,10 @@
 
 func (r *replay) submitArrivals(elapsed time.Duration) {
 	for i, k := range r.load.kinds {
+		if c := r.load.crashes; c.kind == k.name && elapsed >= c.from && elapsed < c.until &&
+			r.rand.Float64() < k.perSecond*c.share*replayTick.Seconds() {
+			r.submitCrashing(i, k)
+		}
 		rate := k.perSecond
 		for _, b := range r.load.bursts {
 			if b.kind == k.name && elapsed >= b.from && elapsed < b.until {
@@ -503,6 +582,17 @@
 	}
 }
 
+// submitCrashing submits a job of which one task crashes its workers. It counts in no result.
+func (r *replay) submitCrashing(index int, kind jobKind) {
+	before := r.results[index]
+	r.submit(index, kind)
+	r.results[index] = before
+	if j := r.jobs[fmt.Sprintf("%016x", r.submitted)]; j != nil {
+		j.crashesWorkers = true
+		j.tasks[executor.Run{}].crashesWorker = true
+	}
+}
+
 func (r *replay) submit(index int, kind jobKind) {
 	r.submitted++
 	j := &replayJob{
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -59,6 +59,14 @@
 	share       float64
 }
 
+// crashes adds jobs of which one task crashes each worker that starts it: share says how many there are for each job of
+// the kind.
+type crashes struct {
+	kind        string
+	from, until time.Duration
+	share       float64
+}
+
 // load describes the workers and the jobs of a replay.
 type load struct {
 	workers int
@@ -66,6 +74,7 @@
 	kinds   []jobKind
 	bursts  []burst
 	losses  []loss
+	crashes crashes
 	// handover is when another leader takes over; 0 means never.
 	handover time.Duration
 	length   time.Duration
