batch, scheduler: count the crashes of workers under a task and give it up

Attempts count only ends that a worker reports.

- The end of a run that was lost with its worker names the crash when the run may have caused it: the worker is not known, on its own clock, to have lived with the run for 250 ms.
The crash says whether it is the only such run.
A crash counts as confirmed once another incarnation reports under the worker's id or address; a worker that is only cut off never confirms one.
FD2419 names each crash that counts, FD2420 those for which a job failed.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -23,6 +23,8 @@
 	active []*Job
 	// accepted counts the jobs that were ever accepted.
 	accepted uint64
+	// unconfirmed holds the crashes that a later report may confirm.
+	unconfirmed []unconfirmedCrash
 	// finished collects the ids of the jobs that ended since the last call of TakeFinished.
 	finished []string
 }
@@ -49,6 +51,8 @@
 	Task    *Task
 	Worker  string
 	Outcome wire.RunOutcome
+	// Crash is the crash of the worker if it may be due to the run, and nil otherwise.
+	Crash *Crash
 }
 
 // Apply executes one command of the log. It must be deterministic: every node applies the same commands.
@@ -236,7 +240,12 @@
 	switch {
 	case t.incarnation != nil:
 		t.release()
-		effect.Ended = append(effect.Ended, EndedRun{Task: t, Worker: worker, Outcome: end.GetOutcome()})
+		ended := EndedRun{Task: t, Worker: worker, Outcome: end.GetOutcome()}
+		if end.GetCrash() != nil {
+			ended.Crash = newCrash(end.GetCrash())
+			b.recordCrash(t, ended.Crash)
+		}
+		effect.Ended = append(effect.Ended, ended)
 	case end.GetOutcome() != wire.RunOutcome_RUN_OUTCOME_DONE || t.done || j.Ended():
 		// A run that was given up and released counts only if it succeeded after all: its start order arrived late, at
 		// a later incarnation of the worker.
@@ -292,6 +301,7 @@
 // registerIncarnation adds a new incarnation of a worker, which ends the previous one, or updates the present one. It
 // ignores a report of an earlier incarnation.
 func (b *Batch) registerIncarnation(report *wire.WorkerLife, effect *Effect) {
+	b.confirmCrashes(report)
 	present := b.incarnations[report.GetWorker()]
 	if present != nil && present.startedUnixMs != report.GetBornUnixMs() {
 		if report.GetBornUnixMs() < present.startedUnixMs {
--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -346,6 +346,10 @@
 		return &wire.QueueCommand{Submit: testJob(jobID, &wire.JobStep{Count: 1})}
 	default:
 		outcome := rapid.SampledFrom([]wire.RunOutcome{done, failed, cutShort}).Draw(t, "outcome")
-		return end(&wire.RunEnd{Job: jobID, Step: step, Index: index, Run: run, Outcome: outcome, Checkpoint: "c"})
+		command := end(&wire.RunEnd{Job: jobID, Step: step, Index: index, Run: run, Outcome: outcome, Checkpoint: "c"})
+		if outcome == cutShort && rapid.Bool().Draw(t, "crash") {
+			command.Ends[0].Crash = &wire.WorkerCrash{Worker: worker, BornUnixMs: startedUnixMs, Run: run, OnlySuspect: true}
+		}
+		return command
 	}
 }
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -17,6 +17,8 @@
 	order uint64
 	// activeRuns counts the runs of the job that occupy resources on a worker.
 	activeRuns int
+	// givenUp is the task for which the job has failed because workers crashed under it, or nil.
+	givenUp *GivenUpTask
 }
 
 func newJob(spec *wire.SubmittedJob, queue *wire.Queue, order uint64) *Job {
@@ -222,6 +224,8 @@
 	lastWorker string
 	checkpoint string
 	failedOn   []string
+	// crashes holds the crashes of workers that may be due to the task, oldest first.
+	crashes []*Crash
 }
 
 // Step returns the task's step.
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -36,6 +36,11 @@
 
 func (j *Job) state() *wire.BatchJobState {
 	state := &wire.BatchJobState{Job: j.spec, Phase: j.phase, Order: j.order}
+	if g := j.givenUp; g != nil {
+		state.GivenUp = &wire.GivenUpTask{
+			Step: uint32(g.step), Index: uint32(g.index), Crashes: crashMessages(g.crashes),
+		}
+	}
 	if j.Ended() && j.activeRuns == 0 {
 		// Only the phase of an ended job is still read.
 		state.Job = &wire.SubmittedJob{Id: j.spec.GetId(), Queue: j.spec.GetQueue()}
@@ -49,7 +54,7 @@
 			record := &wire.BatchTaskState{
 				Step: uint32(s.number), Index: uint32(t.index), Run: uint32(t.run), Failures: uint32(s.failures(t)),
 				Done: t.done, Checkpoint: t.checkpoint, FailedOn: t.failedOn, LastFailed: uint32(s.lastFailedRun),
-				LastWorker: t.lastWorker,
+				LastWorker: t.lastWorker, Crashes: crashMessages(t.crashes),
 			}
 			if t.incarnation != nil {
 				record.Worker, record.BornUnixMs = t.incarnation.worker, t.incarnation.startedUnixMs
@@ -76,6 +81,9 @@
 	for _, s := range state.GetJobs() {
 		j := newJob(s.GetJob(), b.queues[s.GetJob().GetQueue()], s.GetOrder())
 		j.phase = s.GetPhase()
+		if g := s.GetGivenUp(); g != nil {
+			j.givenUp = &GivenUpTask{step: int(g.GetStep()), index: int(g.GetIndex()), crashes: newCrashes(g.GetCrashes())}
+		}
 		b.jobs[j.ID()] = j
 		for _, t := range s.GetTasks() {
 			b.restoreTask(j, t)
@@ -92,6 +100,12 @@
 	t := s.tasks[record.GetIndex()]
 	t.run, t.checkpoint, t.failedOn = int(record.GetRun()), record.GetCheckpoint(), record.GetFailedOn()
 	t.lastWorker = record.GetLastWorker()
+	t.crashes = newCrashes(record.GetCrashes())
+	for _, c := range t.crashes {
+		if !c.confirmed && !j.Ended() {
+			b.unconfirmed = append(b.unconfirmed, unconfirmedCrash{t, c})
+		}
+	}
 	if s.spec.GetGang() {
 		s.failedRuns = int(record.GetFailures())
 		s.lastFailedRun = int(record.GetLastFailed())
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -296,8 +296,8 @@
 
 func (c *Controller) handleWorkerReport(e queueEvent, report *wire.WorkerLife, now time.Duration) {
 	reply := &wire.QueueReply{WorkerAddress: c.cfg.Queues.WorkerAddress}
-	change := c.scheduler.RecordReport(report, now)
-	if change == nil {
+	command := c.scheduler.RecordReport(report, now)
+	if command == nil {
 		e.answer(reply)
 		return
 	}
@@ -305,16 +305,15 @@
 		e.turnAway("the leader's disk is full", diskFullRetryDelay)
 		return
 	}
-	c.proposeQueueCommand(e, &wire.QueueCommand{Workers: []*wire.WorkerLife{proto.Clone(change).(*wire.WorkerLife)}}, now,
-		func(*wire.Result) {
-			line := logger.WorkerRegistered
-			if change.GetDraining() {
-				line = logger.WorkerDraining
-			}
-			line.Log(c.cfg.Logger, "worker", change.GetWorker(), "born_unix_ms", change.GetBornUnixMs(),
-				"address", change.GetAddress(), "rack", change.GetRack(), "pool", change.GetPool())
-			e.answer(reply)
-		})
+	c.proposeQueueCommand(e, proto.Clone(command).(*wire.QueueCommand), now, func(*wire.Result) {
+		line := logger.WorkerRegistered
+		if report.GetDraining() {
+			line = logger.WorkerDraining
+		}
+		line.Log(c.cfg.Logger, "worker", report.GetWorker(), "born_unix_ms", report.GetBornUnixMs(),
+			"address", report.GetAddress(), "rack", report.GetRack(), "pool", report.GetPool())
+		e.answer(reply)
+	})
 }
 
 // handleWorkerLeave records that a worker has left, as it reports itself. It ignores the message unless the worker is
--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -5,19 +5,122 @@
 	"slices"
 	"time"
 
+	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
 )
 
-// startWindow is how long a worker must have lived with a run for a crash to be no sign against the run. A program that
-// crashes its worker does so while it starts.
-const startWindow = 250 * time.Millisecond
+const (
+	// startWindow is how long a worker must have lived with a run for its crash to be no sign against the run. A program
+	// that crashes its worker does so while it starts.
+	startWindow = 250 * time.Millisecond
+	// lateCrashWindow is the same for a run on a worker that has no newer run, and for one under which a worker has
+	// crashed before.
+	lateCrashWindow = 3 * time.Second
+	// movedWorkerSilence is how long a worker must not have reported before another process at its address shows that it
+	// has crashed. A worker that has moved to another address reports from there.
+	movedWorkerSilence = 2 * time.Second
+)
 
 // survived returns how long the worker is known to have lived with a run, on its own clock.
 func (s *session) survived(r *run) time.Duration {
 	if !r.confirmed {
 		return 0
 	}
-	return s.latestClock - r.confirmedClock
+	return max(s.latestClock, s.closedClock) - r.confirmedClock
+}
+
+// recordOtherIncarnation handles the answer of another worker at the address of a session's worker. It shows that the
+// worker has crashed, unless the worker has moved.
+func (sc *Scheduler) recordOtherIncarnation(s *session, now time.Duration) {
+	if !s.replaced && now-s.lastHeardAt > movedWorkerSilence {
+		s.replaced = true
+		sc.logCrash(s, now)
+	}
+}
+
+// suspects returns the crash of a lost worker for each run that may have caused it.
+func (sc *Scheduler) suspects(s *session, confirmed bool) map[*batch.Task]*wire.WorkerCrash {
+	if s.incarnation.Draining() {
+		return nil
+	}
+	runs := s.runsWithin(startWindow)
+	for t, r := range s.runs {
+		if !r.endQueued && len(t.Crashes()) > 0 && s.survived(r) < lateCrashWindow {
+			runs[t] = r
+		}
+	}
+	newRuns := len(runs) > 0
+	if !newRuns {
+		runs = s.runsWithin(lateCrashWindow)
+	}
+	units, known := map[any]bool{}, true
+	for t, r := range runs {
+		units[unitOf(t)] = true
+		known = known && !r.inherited
+	}
+	crashes := map[*batch.Task]*wire.WorkerCrash{}
+	for t := range runs {
+		crashes[t] = &wire.WorkerCrash{
+			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
+			Address: s.incarnation.Report().GetAddress(), Run: uint32(t.Run()),
+			OnlySuspect: newRuns && known && len(units) == 1, Confirmed: confirmed,
+		}
+	}
+	return crashes
+}
+
+// runsWithin returns the runs that the worker is not known to have lived with for as long as the window.
+func (s *session) runsWithin(window time.Duration) map[*batch.Task]*run {
+	runs := map[*batch.Task]*run{}
+	for t, r := range s.runs {
+		if !r.endQueued && s.survived(r) < window {
+			runs[t] = r
+		}
+	}
+	return runs
+}
+
+// unitOf returns what a crash is attributed to: the gang of a task, as its members start together, or the task itself.
+func unitOf(t *batch.Task) any {
+	if t.Step().Spec().GetGang() {
+		return t.Step()
+	}
+	return t
+}
+
+// endCrashedRuns queues the ends of all runs of a worker that has crashed, and its removal.
+func (sc *Scheduler) endCrashedRuns(s *session, now time.Duration) {
+	crashes := sc.suspects(s, true)
+	for t, r := range s.runs {
+		if !r.endQueued {
+			sc.endRun(s, t, r, runResult{
+				outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, checkpoint: r.checkpoint, reason: "worker_crashed", crash: crashes[t],
+			}, now)
+		}
+	}
+	if !s.removalQueued {
+		s.removalQueued = true
+		sc.lostWorkers = append(sc.lostWorkers, &wire.WorkerLife{
+			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
+		})
+	}
+}
+
+// crashEnds returns the ends of the runs of a worker that has started again, to be committed with the registration of
+// its new incarnation.
+func (sc *Scheduler) crashEnds(s *session, now time.Duration) []*wire.RunEnd {
+	sc.logCrash(s, now)
+	var ends []*wire.RunEnd
+	crashes := sc.suspects(s, true)
+	for t, r := range s.runs {
+		if !r.endQueued {
+			ends = append(ends, newRunEnd(runID(t, r.number), runResult{
+				outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, checkpoint: r.checkpoint, crash: crashes[t],
+			}))
+		}
+	}
+	return ends
 }
 
 // logCrash logs that an incarnation of a worker has ended without notice, with its runs that are younger than
@@ -28,13 +131,35 @@
 	}
 	s.crashLogged = true
 	var newRuns []string
-	for t, r := range s.runs {
-		if !r.endQueued && s.survived(r) < startWindow {
-			newRuns = append(newRuns, fmt.Sprintf("%s/%d/%d", t.Step().Job().ID(), t.Step().Number(), t.Index()))
-		}
+	for t := range s.runsWithin(startWindow) {
+		newRuns = append(newRuns, taskName(t))
 	}
 	slices.Sort(newRuns)
 	logger.WorkerCrashed.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
 		"born_unix_ms", s.incarnation.StartedUnixMs(), "address", s.incarnation.Report().GetAddress(),
 		"silent_ms", (now - s.lastAnswerAt).Milliseconds(), "runs", len(s.runs), "new_runs", newRuns)
 }
+
+// logSuspect logs a crash that counts against a task, and the crashes that count so far.
+func (sc *Scheduler) logSuspect(t *batch.Task, crash *batch.Crash) {
+	logger.TaskSuspected.Log(sc.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
+		"run", crash.Run(), "worker", crash.Worker(), "only_suspect", crash.OnlySuspect(), "confirmed", crash.Confirmed(),
+		"crashes", len(t.Crashes()))
+}
+
+// logGivenUp logs the crashes for which a job has failed.
+func (sc *Scheduler) logGivenUp(j *batch.Job) {
+	given := j.GivenUp()
+	if given == nil {
+		return
+	}
+	workers := make([]string, 0, len(given.Crashes()))
+	for _, c := range given.Crashes() {
+		workers = append(workers, c.Worker())
+	}
+	logger.TaskGivenUp.Log(sc.cfg.Logger, "job", j.ID(), "step", given.Step(), "index", given.Index(), "workers", workers)
+}
+
+func taskName(t *batch.Task) string {
+	return fmt.Sprintf("%s/%d/%d", t.Step().Job().ID(), t.Step().Number(), t.Index())
+}
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -6,7 +6,6 @@
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
-	"flamingodrift.example/core/wire"
 )
 
 // maxStartResends is how often a start without an answer is resent. A share of the orders may be lost for some time;
@@ -66,7 +65,7 @@
 		if answer.Status == executor.Unhealthy {
 			sc.recordFailure(s, now)
 		}
-		sc.endRun(s, o.Task, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, o.Task.Checkpoint(), answer.Status.String(), now)
+		sc.endRun(s, o.Task, r, cutShort(o.Task.Checkpoint(), answer.Status.String()), now)
 	}
 }
 
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -34,12 +34,12 @@
 	address string
 	crashed bool
 	// successor is the worker that runs at the address since the crash; nil until it is up.
-	successor *replayWorker
-	runs      map[executor.Run]*replayRun
-	ended         []executor.Ended
-	lastEnd       uint64
-	token         uint64
-	leaseUntil    time.Duration
+	successor  *replayWorker
+	runs       map[executor.Run]*replayRun
+	ended      []executor.Ended
+	lastEnd    uint64
+	token      uint64
+	leaseUntil time.Duration
 	// renewals are waiting for a run to end.
 	renewals []waitingRenewal
 }
@@ -556,8 +556,8 @@
 			case l.until:
 				w.unreachable, w.lastEnd, w.token, w.leaseUntil = false, 0, 0, 0
 				w.startedUnixMs++
-				if report := r.RecordReport(r.report(w), r.now); report != nil {
-					r.after(commitDelay, func() { r.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{report}}) })
+				if command := r.RecordReport(r.report(w), r.now); command != nil {
+					r.after(commitDelay, func() { r.commit(command) })
 				}
 			}
 		}
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -25,10 +25,14 @@
 	if answer.Status != executor.Done ||
 		report.StartedUnixMs != 0 && report.StartedUnixMs != s.incarnation.StartedUnixMs() {
 		s.renewAt = now + renewRetryDelay
-		if answer.Status == executor.Done || answer.Status == executor.OtherIncarnation {
-			sc.logCrash(s, now)
+		if answer.Status == executor.OtherIncarnation {
+			sc.recordOtherIncarnation(s, now)
 		}
 		if !s.unreachable {
+			if answer.Status == executor.Unknown && s.hasClock && now-o.SentAt < o.Order.Wait+sc.cfg.AnswerTimeout {
+				// The connection was closed, which a process does when it ends.
+				s.closedClock = sc.minWorkerTime(s, now)
+			}
 			s.unreachable = true
 			logger.WorkerUnreachable.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(), "verdict", answer.Status.String())
 		}
@@ -77,7 +81,7 @@
 			outcome = wire.RunOutcome_RUN_OUTCOME_FAILED
 		default:
 		}
-		sc.endRun(s, t, r, outcome, e.Checkpoint, e.Outcome.String(), now)
+		sc.endRun(s, t, r, runResult{outcome: outcome, checkpoint: e.Checkpoint, reason: e.Outcome.String()}, now)
 	}
 	if s.listedEnd > s.committedEnd {
 		// Until its ended runs are acknowledged, the worker would answer a renewal immediately with the same list.
@@ -93,7 +97,7 @@
 		t.LastWorker() != s.incarnation.Worker() {
 		return
 	}
-	sc.queueEnd(e.Run, wire.RunOutcome_RUN_OUTCOME_DONE, e.Checkpoint)
+	sc.queueEnd(e.Run, runResult{outcome: wire.RunOutcome_RUN_OUTCOME_DONE, checkpoint: e.Checkpoint})
 }
 
 // taskOn returns the task of a run if the task currently has a run on the incarnation, and nil otherwise.
@@ -125,7 +129,7 @@
 			continue
 		}
 		if r.listedAt != now && len(report.Ended) < maxListedEnds && sc.cannotRun(s, o, r) {
-			sc.endRun(s, t, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, r.checkpoint, "never_started", now)
+			sc.endRun(s, t, r, cutShort(r.checkpoint, "never_started"), now)
 		}
 	}
 }
@@ -233,6 +237,9 @@
 	if s := sc.sessions[end.Worker]; s != nil {
 		delete(s.runs, end.Task)
 	}
+	if end.Crash != nil {
+		sc.logSuspect(end.Task, end.Crash)
+	}
 	if end.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
 		logger.RunFailed.Log(sc.cfg.Logger, "job", end.Task.Step().Job().ID(), "step", end.Task.Step().Number(),
 			"index", end.Task.Index(), "run", end.Task.Run(), "worker", end.Worker,
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -196,7 +196,10 @@
 	sc.logPlaced(effect.Placed, now)
 	for _, id := range sc.batch.TakeFinished() {
 		sc.ended = append(sc.ended, endedJob{id, now})
-		sc.logEnded(sc.batch.Job(id), now)
+		if j := sc.batch.Job(id); j != nil {
+			sc.logGivenUp(j)
+			sc.logEnded(j, now)
+		}
 	}
 	sc.changed = true
 }
@@ -225,9 +228,6 @@
 }
 
 func (sc *Scheduler) logEnded(j *batch.Job, now time.Duration) {
-	if j == nil {
-		return
-	}
 	sc.cfg.Meter.JobEnded(j.Queue().GetName(), phaseName(j), now-sc.timings[j].acceptedAt)
 	logger.JobEnded.Log(sc.cfg.Logger, "job", j.ID(), "queue", j.Queue().GetName(), "phase", phaseName(j),
 		"since_accepted_ms", (now - sc.timings[j].acceptedAt).Milliseconds(),
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -52,6 +52,12 @@
 	// index is the worker's index in the round with the number round.
 	round uint64
 	index int
+	// closedClock is the expected reading of the worker's clock when it closed a connection on which a renewal waited.
+	closedClock time.Duration
+	// replaced is set once another worker has answered at the address: this one has crashed.
+	replaced bool
+	// removalQueued is set once the removal of the incarnation was queued for the log.
+	removalQueued bool
 	// crashLogged is set once the crash of the incarnation was logged.
 	crashLogged bool
 	// drainDeadline is when a draining worker may shut down; 0 if it has not reported it.
@@ -150,12 +156,17 @@
 	return s.clock + (now - s.clockAt) + length
 }
 
-// RecordReport records a worker's report about itself. It returns the report if it must be committed before it is
+// RecordReport records a worker's report about itself. It returns a command with the report if it must be committed before it is
 // acknowledged, and nil if it contains no change.
-func (sc *Scheduler) RecordReport(report *wire.WorkerLife, now time.Duration) *wire.WorkerLife {
+func (sc *Scheduler) RecordReport(report *wire.WorkerLife, now time.Duration) *wire.QueueCommand {
+	change := &wire.QueueCommand{Workers: []*wire.WorkerLife{report}}
 	incarnation := sc.batch.Incarnation(report.GetWorker())
-	if incarnation == nil || incarnation.StartedUnixMs() < report.GetBornUnixMs() {
-		return report
+	if incarnation == nil {
+		return change
+	}
+	if incarnation.StartedUnixMs() < report.GetBornUnixMs() {
+		change.Ends = sc.crashEnds(sc.sessionFor(incarnation, now), now)
+		return change
 	}
 	if incarnation.StartedUnixMs() > report.GetBornUnixMs() {
 		return nil
@@ -168,7 +179,7 @@
 	if report.GetAddress() != incarnation.Report().GetAddress() || report.GetDraining() && !incarnation.Draining() ||
 		report.GetCpuMillis() != incarnation.Report().GetCpuMillis() ||
 		report.GetMemoryMb() != incarnation.Report().GetMemoryMb() {
-		return report
+		return change
 	}
 	return nil
 }
@@ -191,6 +202,10 @@
 		if !s.renewing && now >= s.renewAt {
 			sc.renew(s, now)
 		}
+		if s.replaced {
+			sc.endCrashedRuns(s, now)
+			continue
+		}
 		sc.checkRuns(s, now)
 		if now-s.lastHeardAt > silentWorkerTimeout && now-s.lastAnswerAt > silentWorkerTimeout && sc.leaseExpired(s, now) {
 			s.lastHeardAt = now
@@ -261,12 +276,18 @@
 		return
 	}
 	expired := now-s.lastAnswerAt > sc.cfg.RenewWait && sc.leaseExpired(s, now)
+	var crashes map[*batch.Task]*wire.WorkerCrash
+	if expired {
+		crashes = sc.suspects(s, false)
+	}
 	for t, r := range s.runs {
 		if r.endQueued {
 			continue
 		}
 		if expired {
-			sc.endRun(s, t, r, wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, r.checkpoint, "lease_over", now)
+			result := cutShort(r.checkpoint, "lease_over")
+			result.crash = crashes[t]
+			sc.endRun(s, t, r, result, now)
 			continue
 		}
 		if r.stopping && !r.stopAnswered && now-r.stopSentAt > stopRetryDelay {
@@ -275,25 +296,41 @@
 	}
 }
 
+// runResult is how a run has ended. The reason is for logs and metrics.
+type runResult struct {
+	outcome    wire.RunOutcome
+	checkpoint string
+	reason     string
+	// crash is the crash of the worker if it may be due to the run, and nil otherwise.
+	crash *wire.WorkerCrash
+}
+
+// cutShort returns the result of a run that ended for no fault of the task.
+func cutShort(checkpoint, reason string) runResult {
+	return runResult{outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, checkpoint: checkpoint, reason: reason}
+}
+
 // endRun queues the end of a run for the log.
-func (sc *Scheduler) endRun(
-	s *session, t *batch.Task, r *run, outcome wire.RunOutcome, checkpoint, reason string, now time.Duration,
-) {
+func (sc *Scheduler) endRun(s *session, t *batch.Task, r *run, result runResult, now time.Duration) {
 	r.endQueued = true
-	sc.cfg.Meter.RunEnded(reason)
-	sc.queueEnd(runID(t, r.number), outcome, checkpoint)
-	if outcome != wire.RunOutcome_RUN_OUTCOME_DONE {
+	sc.cfg.Meter.RunEnded(result.reason)
+	sc.queueEnd(runID(t, r.number), result)
+	if result.outcome != wire.RunOutcome_RUN_OUTCOME_DONE {
 		logger.RunCutShort.Log(sc.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
-			"run", r.number, "worker", s.incarnation.Worker(), "why", reason, "ran_ms", (now - r.startedAt).Milliseconds(),
+			"run", r.number, "worker", s.incarnation.Worker(), "why", result.reason, "ran_ms", (now - r.startedAt).Milliseconds(),
 			"survived_ms", s.survived(r).Milliseconds())
 	}
 }
 
 // queueEnd adds the end of a run to the next command for the log.
-func (sc *Scheduler) queueEnd(run executor.Run, outcome wire.RunOutcome, checkpoint string) {
+func (sc *Scheduler) queueEnd(run executor.Run, result runResult) {
 	sc.changed = true
-	sc.ends = append(sc.ends, &wire.RunEnd{
+	sc.ends = append(sc.ends, newRunEnd(run, result))
+}
+
+func newRunEnd(run executor.Run, result runResult) *wire.RunEnd {
+	return &wire.RunEnd{
 		Job: run.Job, Step: uint32(run.Step), Index: uint32(run.Index), Run: uint32(run.Run),
-		Outcome: outcome, Checkpoint: checkpoint,
-	})
+		Outcome: result.outcome, Checkpoint: result.checkpoint, Crash: result.crash,
+	}
 }
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -53,6 +53,8 @@
 	UnknownRun        = define(2416, slog.LevelWarn, "worker reports a run that the replicated log does not contain; the run is stopped")
 	ConsentFailed     = define(2417, slog.LevelWarn, "call for consent failed; it is repeated")
 	RunStuck          = define(2418, slog.LevelWarn, "run makes no progress; it is stopped and placed on another worker")
+	TaskSuspected     = define(2419, slog.LevelWarn, "worker was lost with the run; the crash counts against the task")
+	TaskGivenUp       = define(2420, slog.LevelWarn, "workers crashed under the task; it is given up and its job fails")
 	QueuesConfigured  = define(2421, slog.LevelInfo, "queue configuration committed")
 	ConfigRejected    = define(2422, slog.LevelWarn, "queue configuration rejected")
 	EntryLost         = define(2301, slog.LevelWarn, "entry process lease ran out; its targets get new owners")
