scheduler: start tasks under which workers crashed apart from other work

A task that may have caused a crash now starts on a worker without other new runs, on the one with the least work to lose, and that worker gets no other runs for 400 ms. One that was the only suspect, among the newest runs, or a suspect twice, waits for an idle worker; up to a tenth of the workers are kept from new runs for that. A gang starts apart once it was the likely cause. Why such a task waits has its own reason (waits_for_isolation), and 'why' names the crashes that count.

--- a/controld/internal/batch/crash.go
+++ b/controld/internal/batch/crash.go
@@ -21,6 +21,7 @@
 	address       string
 	run           int
 	onlySuspect   bool
+	newest        bool
 	confirmed     bool
 }
 
@@ -33,20 +34,24 @@
 // OnlySuspect reports whether no other task or gang may have caused the crash.
 func (c *Crash) OnlySuspect() bool { return c.onlySuspect }
 
+// Newest reports whether the run was among the newest on the worker, and so the most likely cause.
+func (c *Crash) Newest() bool { return c.newest }
+
 // Confirmed reports whether the worker is known to have ended. Otherwise it may only be cut off.
 func (c *Crash) Confirmed() bool { return c.confirmed }
 
 func newCrash(message *wire.WorkerCrash) *Crash {
 	return &Crash{
 		worker: message.GetWorker(), startedUnixMs: message.GetBornUnixMs(), address: message.GetAddress(),
-		run: int(message.GetRun()), onlySuspect: message.GetOnlySuspect(), confirmed: message.GetConfirmed(),
+		run: int(message.GetRun()), onlySuspect: message.GetOnlySuspect(), newest: message.GetNewest(),
+		confirmed: message.GetConfirmed(),
 	}
 }
 
 func (c *Crash) message() *wire.WorkerCrash {
 	return &wire.WorkerCrash{
 		Worker: c.worker, BornUnixMs: c.startedUnixMs, Address: c.address, Run: uint32(c.run),
-		OnlySuspect: c.onlySuspect, Confirmed: c.confirmed,
+		OnlySuspect: c.onlySuspect, Newest: c.newest, Confirmed: c.confirmed,
 	}
 }
 
@@ -95,7 +100,7 @@
 // Crashes returns the crashes that count against a task or, for a task of a gang, against the gang: at most one for each
 // run, oldest first.
 func (t *Task) Crashes() []*Crash {
-	if !t.step.spec.GetGang() {
+	if !t.step.spec.GetGang() || !t.step.suspected {
 		return t.crashes
 	}
 	byRun := map[int]*Crash{}
@@ -148,6 +153,7 @@
 		crash.confirmed = crash.confirmed || crash.endedBefore(inc.report)
 	}
 	t.crashes = append(t.crashes, crash)
+	t.step.suspected = true
 	if !crash.confirmed {
 		b.unconfirmed = append(b.unconfirmed, unconfirmedCrash{t, crash})
 	}
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -98,6 +98,8 @@
 	// failedRuns counts the failed runs of a gang, and lastFailedRun is the number of the newest of them.
 	failedRuns    int
 	lastFailedRun int
+	// suspected is set once a crash of a worker was recorded against one of the tasks.
+	suspected bool
 }
 
 // Job returns the step's job.
@@ -115,6 +117,9 @@
 // Tasks returns the step's tasks.
 func (s *Step) Tasks() []*Task { return s.tasks }
 
+// Suspected reports whether a worker has crashed under one of the tasks and may have done so because of it.
+func (s *Step) Suspected() bool { return s.suspected }
+
 // Done reports whether all tasks are done.
 func (s *Step) Done() bool { return s.done == len(s.tasks) }
 
--- a/controld/internal/explainer/submitted.go
+++ b/controld/internal/explainer/submitted.go
@@ -126,6 +126,13 @@
 		fmt.Sprintf("Job %s was submitted to queue %s. %s.",
 			id, j.Queue().GetName(), phaseClause(j, e.Scheduler.KnownFor(j, e.Now))),
 	}}
+	isGivenUp := false
+	if given := j.GivenUp(); given != nil {
+		task := fmt.Sprintf("%s/%d/%d", id, given.Step(), given.Index())
+		isGivenUp = name == task
+		answer.Sentences = append(answer.Sentences,
+			fmt.Sprintf("Task %s was given up. %s", task, crashSentence(given.Crashes())))
+	}
 	for _, step := range j.Steps() {
 		wait := e.stepWait(step)
 		if !isTask {
@@ -134,16 +141,37 @@
 		for _, t := range step.Tasks() {
 			if line := e.submittedTaskLine(t, wait.Reason); !isTask || line.Task == name {
 				line.Sentence = e.runSentence(t, wait.Reason)
+				if crashes := t.Crashes(); len(crashes) > 0 {
+					line.Sentence += " " + crashSentence(crashes)
+				}
 				answer.Tasks = append(answer.Tasks, line)
 			}
 		}
 	}
-	if isTask && len(answer.Tasks) == 0 {
+	if isTask && len(answer.Tasks) == 0 && !isGivenUp {
 		return nil
 	}
 	return answer
 }
 
+// crashSentence names the lost workers that count against a task or its gang.
+func crashSentence(crashes []*batch.Crash) string {
+	parts := make([]string, 0, len(crashes))
+	for _, c := range crashes {
+		how := "may have crashed"
+		if c.Confirmed() {
+			how = "crashed"
+		}
+		beside := "beside other new runs"
+		if c.OnlySuspect() {
+			beside = "without other new runs"
+		}
+		parts = append(parts, fmt.Sprintf("%s %s under run %d, %s", c.Worker(), how, c.Run(), beside))
+	}
+	return fmt.Sprintf("%s against it: %s.", countPhrase(len(parts), "lost worker counts", "lost workers count"),
+		strings.Join(parts, "; "))
+}
+
 // submittedTaskLine returns the entry for a task, without its sentence. waitReason is why tasks of its step wait.
 func (e *Explainer) submittedTaskLine(t *batch.Task, waitReason reason.Reason) *Task {
 	j := t.Step().Job()
--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -17,6 +17,10 @@
 	// lateCrashWindow is the same for a run on a worker that has no newer run, and for one under which a worker has
 	// crashed before.
 	lateCrashWindow = 3 * time.Second
+	// newestWindow is the same for the run that most likely caused the crash; maxNewestJobs is from how many jobs such runs
+	// may be.
+	newestWindow  = 60 * time.Millisecond
+	maxNewestJobs = 2
 	// movedWorkerSilence is how long a worker must not have reported before another process at its address shows that it
 	// has crashed. A worker that has moved to another address reports from there.
 	movedWorkerSilence = 2 * time.Second
@@ -46,7 +50,7 @@
 	}
 	runs := s.runsWithin(startWindow)
 	for t, r := range s.runs {
-		if !r.endQueued && len(t.Crashes()) > 0 && s.survived(r) < lateCrashWindow {
+		if !r.endQueued && s.survived(r) < lateCrashWindow && len(t.Crashes()) > 1 {
 			runs[t] = r
 		}
 	}
@@ -54,17 +58,22 @@
 	if !newRuns {
 		runs = s.runsWithin(lateCrashWindow)
 	}
-	units, known := map[any]bool{}, true
+	// The tasks of a job are given up together, so it does not matter which of them caused the crash.
+	jobs, newestJobs, known := map[*batch.Job]bool{}, map[*batch.Job]bool{}, true
 	for t, r := range runs {
-		units[unitOf(t)] = true
+		jobs[t.Step().Job()] = true
 		known = known && !r.inherited
+		if s.survived(r) < newestWindow {
+			newestJobs[t.Step().Job()] = true
+		}
 	}
 	crashes := map[*batch.Task]*wire.WorkerCrash{}
 	for t := range runs {
 		crashes[t] = &wire.WorkerCrash{
 			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
 			Address: s.incarnation.Report().GetAddress(), Run: uint32(t.Run()),
-			OnlySuspect: newRuns && known && len(units) == 1, Confirmed: confirmed,
+			OnlySuspect: newRuns && known && len(jobs) == 1, Confirmed: confirmed,
+			Newest: newRuns && known && len(newestJobs) <= maxNewestJobs && newestJobs[t.Step().Job()],
 		}
 	}
 	return crashes
@@ -81,14 +90,6 @@
 	return runs
 }
 
-// unitOf returns what a crash is attributed to: the gang of a task, as its members start together, or the task itself.
-func unitOf(t *batch.Task) any {
-	if t.Step().Spec().GetGang() {
-		return t.Step()
-	}
-	return t
-}
-
 // endCrashedRuns queues the ends of all runs of a worker that has crashed, and its removal.
 func (sc *Scheduler) endCrashedRuns(s *session, now time.Duration) {
 	crashes := sc.suspects(s, true)
--- a/controld/internal/scheduler/crash_test.go
+++ b/controld/internal/scheduler/crash_test.go
@@ -55,8 +55,9 @@
 				for i, k := range l.kinds {
 					t.Logf("%s: value share %.3f", k.name, r.results[i].valueShare())
 				}
-				t.Logf("%d of %d crashing jobs failed, %d workers crashed and lost %d runs; longest wait while workers were idle: %v",
-					failed, crashing, r.crashes, r.lostRuns, r.longestIdleWait)
+				require.Less(t, r.longestIdleWait, maxIdleWait)
+				t.Logf("%d of %d crashing jobs failed, %d workers crashed and lost %v runs; longest wait while workers were idle: %v, of crashing jobs %v",
+					failed, crashing, r.crashes, r.lostRuns, r.longestIdleWait, r.longestCrashingWait)
 			}
 		})
 	}
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -63,6 +63,8 @@
 	steps    []*batch.Step
 	demands  []allocator.Demand
 	runTasks []*batch.Task
+	// placements holds those of isolated tasks, which are decided before the others.
+	placements []*wire.RunPlacement
 }
 
 // decide runs a scheduling round and returns its placements.
@@ -73,7 +75,7 @@
 	sc.addDemands(r)
 	sc.lastRound = roundResult{steps: r.steps}
 	if len(r.steps) == 0 {
-		return nil
+		return r.placements
 	}
 	plan := sc.alloc.Decide(r.workers, r.demands, func(worker int) []allocator.Run { return sc.runsOf(r, worker) })
 	sc.lastRound.waitingGangs = plan.WaitingGangs
@@ -89,7 +91,8 @@
 		s.reserved = false
 	}
 	sc.requestConsents(r, plan, now)
-	placements := make([]*wire.RunPlacement, 0, len(plan.Placements))
+	placements := make([]*wire.RunPlacement, 0, len(r.placements)+len(plan.Placements))
+	placements = append(placements, r.placements...)
 	for _, p := range plan.Placements {
 		step, incarnation := r.steps[p.Demand], r.sessions[p.Worker].incarnation
 		task := step.Tasks()[p.Task]
@@ -161,10 +164,21 @@
 // includes reports whether the round may place tasks on a worker.
 func (r *round) includes(s *session) bool { return s.round == r.number }
 
-func (sc *Scheduler) addWorkers(r *round) {
+// updateMostCapacityFree sets mostCapacityFree from the usable workers.
+func (sc *Scheduler) updateMostCapacityFree(now time.Duration) {
 	var capacity, free int64
 	for _, s := range sc.sessions {
-		if !sc.usable(s, r.now) {
+		if sc.usable(s, now) {
+			capacity += s.incarnation.Capacity().CPU()
+			free += s.incarnation.Free().CPU()
+		}
+	}
+	sc.mostCapacityFree = 2*free > capacity
+}
+
+func (sc *Scheduler) addWorkers(r *round) {
+	for _, s := range sc.sessions {
+		if !sc.usable(s, r.now) || r.now < s.probeUntil || s.takenInRound == r.number || s.pooledInRound == r.number {
 			continue
 		}
 		s.round, s.index = r.number, len(r.sessions)
@@ -174,10 +188,7 @@
 			Rack: s.incarnation.Report().GetRack(), Speed: s.speed.factor(), Unproven: s.failureStreak >= unprovenStreak,
 		}
 		r.workers = append(r.workers, w)
-		capacity += w.Capacity.CPU()
-		free += w.Free.CPU()
 	}
-	sc.mostCapacityFree = 2*free > capacity
 }
 
 const (
@@ -211,6 +222,8 @@
 	if len(waiting) == 0 {
 		return
 	}
+	sc.updateMostCapacityFree(r.now)
+	waiting = sc.placeIsolated(r, waiting)
 	sc.addWorkers(r)
 	for _, w := range waiting[:min(len(waiting), maxDemandsPerRound)] {
 		sc.addDemand(r, w)
--- /dev/null
+++ b/controld/internal/scheduler/isolation.go
@@ -0,0 +1,328 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/wire"
+)
+
+// isolation says beside what a task may start after workers have crashed under it. It keeps the next crash from taking
+// other runs along, and leaves no doubt about what caused it.
+type isolation int
+
+const (
+	notIsolated isolation = iota
+	// startsApart is for a task that may have caused a crash: it starts on a worker without other new runs.
+	startsApart
+	// runsAlone is for a task that was the only suspect, or a suspect more than once: it starts on a worker without other
+	// runs.
+	runsAlone
+)
+
+// isolationOf returns how a task must be isolated. A gang needs several workers at once, so it never waits for idle ones.
+func isolationOf(t *batch.Task) isolation {
+	crashes := t.Crashes()
+	isGang := t.Step().Spec().GetGang()
+	likely := len(crashes) > 1 ||
+		slices.ContainsFunc(crashes, func(c *batch.Crash) bool { return c.OnlySuspect() || c.Newest() })
+	switch {
+	case len(crashes) == 0 || isGang && !likely:
+		return notIsolated
+	case isGang || !likely:
+		return startsApart
+	default:
+		return runsAlone
+	}
+}
+
+const (
+	// probeTime is for how long a worker gets no other runs after an isolated task was started there: startWindow and the
+	// time of the order.
+	probeTime = 400 * time.Millisecond
+	// maxPoolShare and maxApartShare bound the workers that are kept for isolated tasks at a time, as a share of all. Most
+	// tasks that run alone crash their worker, which then is of no use for some seconds.
+	maxPoolShare  = 0.1
+	maxApartShare = 0.25
+	// minAlonePerRound is how many tasks that run alone a round considers at least. The others would only take the consent
+	// service's time from work that can start.
+	minAlonePerRound = 4
+	// maxAloneWait is how long a task may wait to run alone, and maxAloneWaitIdle the same while most of the capacity is
+	// free. After that it starts on a worker without other new runs.
+	maxAloneWait     = 20 * time.Second
+	maxAloneWaitIdle = time.Second
+)
+
+// isolatedTask is a waiting task, or gang, that must be isolated.
+type isolatedTask struct {
+	waitingStep
+	level   isolation
+	crashes int
+	isGang  bool
+}
+
+// placeIsolated places the isolated tasks among the waiting ones, keeps the chosen workers out of the round and returns
+// the other tasks. Tasks with fewer crashes go first: they are the most likely to be sound.
+func (sc *Scheduler) placeIsolated(r *round, waiting []waitingStep) []waitingStep {
+	isolated, rest := splitIsolated(waiting)
+	if len(isolated) == 0 {
+		sc.probePool, sc.aloneSince = nil, nil
+		return rest
+	}
+	slices.SortStableFunc(isolated, func(a, b isolatedTask) int { return cmp.Compare(a.crashes, b.crashes) })
+	sessions := sc.probeSessions(r.now)
+	sc.updateProbePool(isolated, sessions, r)
+	apartLeft := sc.apartStartsLeft(r.now)
+	aloneLeft := max(minAlonePerRound, len(sc.probePool))
+	for _, task := range isolated {
+		switch {
+		case task.level == runsAlone && (aloneLeft > 0 || sc.mostCapacityFree):
+			sc.placeAlone(r, task, sessions)
+			aloneLeft--
+		case task.level == runsAlone:
+		case apartLeft <= 0 && !sc.mostCapacityFree:
+		case sc.placeApart(r, task, sessions):
+			apartLeft--
+		case task.isGang && sc.mostCapacityFree:
+			// There is room for it, so consent is all that it may lack, which is sought for the gangs of the round.
+			rest = append(rest, task.waitingStep)
+		}
+	}
+	return rest
+}
+
+// splitIsolated separates the isolated tasks from the others.
+func splitIsolated(waiting []waitingStep) ([]isolatedTask, []waitingStep) {
+	var isolated []isolatedTask
+	rest := make([]waitingStep, 0, len(waiting))
+	for _, w := range waiting {
+		if !w.step.Suspected() {
+			rest = append(rest, w)
+			continue
+		}
+		if w.step.Spec().GetGang() {
+			if level := isolationOf(w.tasks[0]); level != notIsolated {
+				isolated = append(isolated, isolatedTask{
+					waitingStep: w, level: level, crashes: len(w.tasks[0].Crashes()), isGang: true,
+				})
+				continue
+			}
+			rest = append(rest, w)
+			continue
+		}
+		clean := w
+		clean.tasks = nil
+		for _, t := range w.tasks {
+			if level := isolationOf(t); level != notIsolated {
+				one := w
+				one.tasks = []*batch.Task{t}
+				isolated = append(isolated, isolatedTask{waitingStep: one, level: level, crashes: len(t.Crashes())})
+				continue
+			}
+			clean.tasks = append(clean.tasks, t)
+		}
+		if len(clean.tasks) > 0 {
+			rest = append(rest, clean)
+		}
+	}
+	return isolated, rest
+}
+
+// probeSessions returns the workers on which an isolated task may start, those with the least work to lose first.
+func (sc *Scheduler) probeSessions(now time.Duration) []*session {
+	var sessions []*session
+	for _, s := range sc.sessions {
+		if sc.usable(s, now) && now >= s.probeUntil && now-s.lastStartAt >= probeTime {
+			sessions = append(sessions, s)
+		}
+	}
+	slices.SortFunc(sessions, func(a, b *session) int {
+		return cmp.Or(compareBools(a.reserved, b.reserved), cmp.Compare(used(a), used(b)),
+			cmp.Compare(a.incarnation.Worker(), b.incarnation.Worker()))
+	})
+	return sessions
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// used returns the processors of a worker that runs occupy, in thousandths.
+func used(s *session) int64 { return s.incarnation.Capacity().Sub(s.incarnation.Free()).CPU() }
+
+// apartStartsLeft returns on how many more workers tasks may start apart now.
+func (sc *Scheduler) apartStartsLeft(now time.Duration) int {
+	workers, probing := 0, 0
+	for _, s := range sc.sessions {
+		if sc.usable(s, now) {
+			workers++
+		}
+		if now < s.probeUntil {
+			probing++
+		}
+	}
+	return max(1, int(maxApartShare*float64(workers))) - probing
+}
+
+// updateProbePool chooses the workers that get no other new runs, so that they become idle, while tasks wait to run
+// alone. It keeps them out of the round.
+func (sc *Scheduler) updateProbePool(isolated []isolatedTask, sessions []*session, r *round) {
+	wanted := 0
+	since := map[*batch.Task]time.Duration{}
+	for _, task := range isolated {
+		if task.level != runsAlone {
+			continue
+		}
+		wanted++
+		t := task.tasks[0]
+		if since[t] = sc.aloneSince[t]; since[t] == 0 {
+			since[t] = r.now
+		}
+	}
+	sc.aloneSince = since
+	usable := 0
+	for _, s := range sc.sessions {
+		if sc.usable(s, r.now) {
+			usable++
+		}
+	}
+	wanted = min(wanted, max(1, int(maxPoolShare*float64(usable))))
+	sc.probePool = slices.DeleteFunc(sc.probePool, func(s *session) bool {
+		return sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now)
+	})
+	for _, s := range sessions {
+		if len(sc.probePool) >= wanted {
+			break
+		}
+		if !slices.Contains(sc.probePool, s) {
+			sc.probePool = append(sc.probePool, s)
+		}
+	}
+	sc.probePool = sc.probePool[:min(len(sc.probePool), wanted)]
+	for _, s := range sc.probePool {
+		s.pooledInRound = r.number
+	}
+}
+
+// placeAlone places a task on a worker that has no runs or, after its first crash, only such as are isolated too.
+func (sc *Scheduler) placeAlone(r *round, task isolatedTask, sessions []*session) {
+	idle := func(s *session) bool { return len(s.runs) == 0 || task.crashes == 1 && onlyIsolatedRuns(s) }
+	s := sc.firstFitting(r, task, sessions, idle)
+	maxWait := maxAloneWait
+	if sc.mostCapacityFree {
+		maxWait = maxAloneWaitIdle
+	}
+	if s == nil && r.now-sc.aloneSince[task.tasks[0]] > maxWait {
+		s = sc.firstFitting(r, task, sessions, nil)
+	}
+	if s == nil {
+		sc.seekConsent(task, r.now)
+		return
+	}
+	sc.placeOn(r, task.tasks[0], s)
+}
+
+func onlyIsolatedRuns(s *session) bool {
+	for t := range s.runs {
+		if len(t.Crashes()) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// placeApart places a task or a gang on workers without other new runs. It reports whether it has.
+func (sc *Scheduler) placeApart(r *round, task isolatedTask, sessions []*session) bool {
+	if task.isGang {
+		return sc.placeIsolatedGang(r, task, sessions)
+	}
+	s := sc.firstFitting(r, task, sessions, func(s *session) bool { return s.pooledInRound != r.number })
+	if s == nil {
+		sc.seekConsent(task, r.now)
+		return false
+	}
+	sc.placeOn(r, task.tasks[0], s)
+	return true
+}
+
+// firstFitting returns the first worker with a property that may run a task now; nil stands for any worker.
+func (sc *Scheduler) firstFitting(
+	r *round, task isolatedTask, sessions []*session, property func(*session) bool,
+) *session {
+	for _, s := range sessions {
+		if (property == nil || property(s)) && sc.mayProbe(r, task, s) && task.step.Need().FitsIn(s.incarnation.Free()) {
+			return s
+		}
+	}
+	return nil
+}
+
+// mayProbe reports whether an isolated task may use a worker in this round.
+func (sc *Scheduler) mayProbe(r *round, task isolatedTask, s *session) bool {
+	if s.takenInRound == r.number || sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now) ||
+		!eligible(task.step, s.incarnation) {
+		return false
+	}
+	if task.step.Job().Queue().GetConsent() == nil {
+		return true
+	}
+	return sc.validTicket(task.step, s.incarnation, r.now) != ""
+}
+
+// placeIsolatedGang places a gang on workers without other new runs if it fits there as a whole.
+func (sc *Scheduler) placeIsolatedGang(r *round, task isolatedTask, sessions []*session) bool {
+	var chosen []*session
+	for _, s := range sessions {
+		if len(chosen) >= len(task.tasks) {
+			break
+		}
+		if !sc.mayProbe(r, task, s) {
+			continue
+		}
+		copies := task.step.Need().CopiesIn(s.incarnation.Free())
+		if most := int64(task.step.Spec().GetMostPerWorker()); most > 0 {
+			copies = min(copies, most)
+		}
+		for range min(copies, int64(len(task.tasks)-len(chosen))) {
+			chosen = append(chosen, s)
+		}
+	}
+	if len(chosen) < len(task.tasks) {
+		sc.seekConsent(task, r.now)
+		return false
+	}
+	for i, t := range task.tasks {
+		sc.placeOn(r, t, chosen[i])
+	}
+	return true
+}
+
+func (sc *Scheduler) placeOn(r *round, t *batch.Task, s *session) {
+	s.takenInRound = r.number
+	r.placements = append(r.placements, &wire.RunPlacement{
+		Job: t.Step().Job().ID(), Step: uint32(t.Step().Number()), Index: uint32(t.Index()),
+		Run: uint32(t.Step().NextRun(t)), Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
+	})
+}
+
+// seekConsent requests the consent that an isolated task needs for more workers, and again where it has run out.
+func (sc *Scheduler) seekConsent(task isolatedTask, now time.Duration) {
+	if task.step.Job().Queue().GetConsent() == nil {
+		return
+	}
+	if len(sc.consentFor(task.step).granted) == 0 {
+		sc.requestFirstConsent(task.step, task.lateness, now)
+		return
+	}
+	sc.renewTickets(task.step, task.lateness, nil, now)
+	sc.requestMoreWorkers(task.step, task.lateness, now)
+}
--- /dev/null
+++ b/controld/internal/scheduler/isolation_test.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/executor"
+	"flamingodrift.example/core/wire"
+)
+
+// submitNamed submits a job of one task.
+func (h *harness) submitNamed(id string) *batch.Task {
+	h.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{Id: id, Queue: "q", Steps: []*wire.JobStep{oneTaskStep()}}})
+	return h.batch.Task(id, 0, 0)
+}
+
+// loseWorker ends the run of a task with the loss of its worker.
+func (h *harness) loseWorker(t *batch.Task, crash *wire.WorkerCrash) {
+	crash.Worker, crash.Run = t.Incarnation().Worker(), uint32(t.Run())
+	h.commit(&wire.QueueCommand{
+		Ends: []*wire.RunEnd{newRunEnd(runID(t, t.Run()), runResult{
+			outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, crash: crash,
+		})},
+		Gone: []*wire.WorkerLife{workerLife(crash.Worker, 1)},
+	})
+}
+
+// TestSuspectsAreIsolated guards against starting a task under which a worker has crashed beside other new runs, which
+// a further crash would take along, so that it could not be attributed either.
+func TestSuspectsAreIsolated(t *testing.T) {
+	tests := []struct {
+		name  string
+		crash *wire.WorkerCrash
+		// idle is set when the task must wait for a worker without runs.
+		idle bool
+	}{
+		{"one of several suspects", &wire.WorkerCrash{}, false},
+		{"one of the newest", &wire.WorkerCrash{Newest: true}, true},
+		{"the only suspect", &wire.WorkerCrash{OnlySuspect: true}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil, "w1", "w2", "w3")
+			h.connectWorkers()
+			suspect := h.submitNamed(testJobID)
+			running := h.submitNamed("00000000000000b1")
+			second := h.submitNamed("00000000000000b2")
+			h.advance(time.Millisecond)
+			require.NotEqual(t, running.LastWorker(), second.LastWorker())
+			h.loseWorker(suspect, test.crash)
+			h.advance(probeTime - 10*time.Millisecond)
+			require.Nil(t, suspect.Incarnation(), "no worker is without a new run")
+			h.answerRenewals(map[string][]executor.Running{
+				running.LastWorker(): {{Run: runID(running, 1)}}, second.LastWorker(): {{Run: runID(second, 1)}},
+			}, nil)
+			h.advance(decideInterval)
+			require.Equal(t, test.idle, suspect.Incarnation() == nil)
+			if test.idle {
+				h.commit(&wire.QueueCommand{Ends: []*wire.RunEnd{newRunEnd(runID(running, 1),
+					runResult{outcome: wire.RunOutcome_RUN_OUTCOME_DONE})}})
+				h.advance(10 * time.Millisecond)
+				require.Equal(t, running.LastWorker(), suspect.Incarnation().Worker())
+			}
+			third := h.submitNamed("00000000000000b3")
+			h.advance(10 * time.Millisecond)
+			require.NotEqual(t, suspect.Incarnation(), third.Incarnation(), "no other run starts beside it")
+		})
+	}
+}
+
+// TestSurvivedStartIsNoSuspect guards against counting the crash of a worker against tasks that it has run for some
+// time: sound tasks on workers that crash for other reasons would be given up.
+func TestSurvivedStartIsNoSuspect(t *testing.T) {
+	h := newHarness(t, nil, "w1")
+	h.connectWorkers()
+	old := h.submitNamed(testJobID)
+	h.advance(time.Millisecond)
+	h.Started(h.takeStart(), h.answer(executor.Done), h.now)
+	for i := range 4 {
+		h.answerRenewals(map[string][]executor.Running{"w1": {{Run: runID(old, 1), Percent: 20 * i}}}, nil)
+		h.advance(lateCrashWindow / 4)
+	}
+	newer := h.submitNamed("00000000000000b1")
+	h.advance(time.Millisecond)
+	h.answerRenewals(map[string][]executor.Running{"w1": {{Run: runID(old, 1)}, {Run: runID(newer, 1)}}}, nil)
+	h.advance(time.Millisecond)
+	command := h.RecordReport(workerLife("w1", 2), h.now)
+	require.Len(t, command.GetEnds(), 2)
+	for _, end := range command.GetEnds() {
+		require.Equal(t, end.GetJob() == newer.Step().Job().ID(), end.GetCrash() != nil, "only the new run is a suspect")
+	}
+}
+
+// TestOtherWorkerAtAddress guards the runs of a worker at whose address another one answers. They have ended, as the
+// worker has crashed, unless it still reports: then it has moved, and its runs must not be started elsewhere.
+func TestOtherWorkerAtAddress(t *testing.T) {
+	tests := []struct {
+		name     string
+		reports  bool
+		replaced bool
+	}{
+		{"crashed", false, true},
+		{"moved", true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil, "w1")
+			h.connectWorkers()
+			task := h.submitNamed(testJobID)
+			h.advance(time.Millisecond)
+			h.Started(h.takeStart(), h.answer(executor.Done), h.now)
+			for range 8 {
+				h.advance(300 * time.Millisecond)
+				if test.reports {
+					h.RecordReport(workerLife("w1", 1), h.now)
+				}
+				for _, o := range h.work.Renewals {
+					h.Renewed(o, executor.Report{}, executor.Answer{Status: executor.OtherIncarnation}, h.now)
+				}
+				h.work.Renewals = nil
+			}
+			h.advance(sessionCheckInterval)
+			require.Equal(t, test.replaced, task.Incarnation() == nil)
+			require.Equal(t, test.replaced, h.batch.Incarnation("w1") == nil)
+		})
+	}
+}
+
+// TestSilentWorkerIsNoCrash guards against giving up the task of workers that are cut off for a while: they have not
+// crashed, however often it happens within the limit for workers that never return.
+func TestSilentWorkerIsNoCrash(t *testing.T) {
+	h := newHarness(t, nil, "w1")
+	h.connectWorkers()
+	task := h.submitNamed(testJobID)
+	for range 4 {
+		h.advance(probeTime)
+		h.advance(time.Millisecond)
+		require.NotNil(t, task.Incarnation())
+		for range 60 {
+			h.advance(100 * time.Millisecond)
+			for _, o := range h.work.Renewals {
+				h.Renewed(o, executor.Report{}, executor.Answer{}, h.now)
+			}
+			h.work.Renewals = nil
+		}
+		require.Nil(t, task.Incarnation(), "the lease is over")
+		h.advance(time.Second)
+		h.answerRenewals(nil, nil)
+		h.advance(time.Millisecond)
+		h.answerRenewals(nil, nil)
+	}
+	require.Len(t, task.Crashes(), 4)
+	require.Equal(t, wire.JobPhase_JOB_PHASE_QUEUED, task.Step().Job().Phase())
+}
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -23,6 +23,10 @@
 	r := &run{number: t.Run(), startUnanswered: true, startedAt: now, progressAt: now, checkpoint: t.Checkpoint()}
 	r.startDeadline = sc.leaseEnd(s, now, sc.cfg.StartLease)
 	s.runs[t] = r
+	s.lastStartAt = now
+	if isolationOf(t) != notIsolated {
+		s.probeUntil = now + probeTime
+	}
 	s.leaseUntil = max(s.leaseUntil, r.startDeadline)
 	order := executor.Start{
 		Run: runID(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: s.token, Until: r.startDeadline,
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -95,13 +95,17 @@
 	// of these waits.
 	idleWaits       map[string]time.Duration
 	longestIdleWait time.Duration
-	scheduled       map[time.Duration][]func()
-	helperFreeAt    map[string]time.Duration
-	results         []kindResult
+	// longestCrashingWait is the same for the jobs whose tasks crash their workers.
+	longestCrashingWait time.Duration
+	scheduled           map[time.Duration][]func()
+	helperFreeAt        map[string]time.Duration
+	results             []kindResult
 	// submitted is the number of jobs so far.
 	submitted int
-	// crashes counts the crashed workers, and lostRuns the runs that they lost.
-	crashes, lostRuns int
+	// crashes counts the crashed workers, and lostRuns the runs that they lost, by how many workers the task had crashed
+	// before.
+	crashes  int
+	lostRuns [crashLimit + maxStartsAfterLimit]int
 }
 
 func newReplay(l load, seed uint64) *replay {
@@ -207,7 +211,10 @@
 // processors are in use, and the workers that may run the step have capacity for it twice over.
 func (r *replay) trackIdleWaits() {
 	var capacity, free int64
-	for _, incarnation := range r.batch.Incarnations() {
+	for worker, incarnation := range r.batch.Incarnations() {
+		if r.workers[worker].crashed {
+			continue
+		}
 		capacity += incarnation.Capacity().CPU()
 		free += incarnation.Free().CPU()
 	}
@@ -217,6 +224,10 @@
 			continue
 		}
 		idle[j.ID()] = r.idleWaits[j.ID()] + idleCheckInterval
+		if r.jobs[j.ID()].crashesWorkers {
+			r.longestCrashingWait = max(r.longestCrashingWait, idle[j.ID()])
+			continue
+		}
 		r.longestIdleWait = max(r.longestIdleWait, idle[j.ID()])
 	}
 	r.idleWaits = idle
@@ -230,7 +241,7 @@
 		}
 		slots := int64(0)
 		for worker, granted := range r.jobs[j.ID()].granted {
-			if incarnation := r.batch.Incarnation(worker); granted && incarnation != nil {
+			if incarnation := r.batch.Incarnation(worker); granted && incarnation != nil && !r.workers[worker].crashed {
 				slots += step.Need().CopiesIn(incarnation.Free())
 			}
 		}
@@ -380,19 +391,21 @@
 		t.startsAfterLimit++
 	}
 	if t.crashesWorker {
+		before := t.crashes
 		t.crashes++
-		r.after(crashDelay, func() { r.crash(w) })
+		r.after(crashDelay, func() { r.crash(w, before) })
 	}
 	return r.answer(executor.Done)
 }
 
 // crash ends the process of a worker; its successor has another name and the same address.
-func (r *replay) crash(w *replayWorker) {
+func (r *replay) crash(w *replayWorker, before int) {
 	if w.crashed {
 		return
 	}
 	sc := r.Scheduler
-	r.crashes, r.lostRuns = r.crashes+1, r.lostRuns+len(w.runs)
+	r.crashes++
+	r.lostRuns[min(before, len(r.lostRuns)-1)] += len(w.runs)
 	for _, waiting := range w.renewals {
 		r.after(orderDelay, func() { r.answerRenewal(sc, waiting.order, executor.Report{}, executor.Answer{}) })
 	}
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -208,8 +208,6 @@
 // the whole kind.
 func TestReplay(t *testing.T) {
 	const minValueShare, minLargestShare = 0.5, 0.5
-	// maxIdleWait is the maximum time that a job may wait for its start while suitable workers are idle.
-	const maxIdleWait = 3 * time.Second
 	lost := standardLoad()
 	lost.losses = []loss{{from: 10 * time.Second, until: 30 * time.Second, share: 0.2}}
 	handover := standardLoad()
@@ -252,6 +250,9 @@
 	}
 }
 
+// maxIdleWait is the maximum time that a job may wait for its start while suitable workers are idle.
+const maxIdleWait = 3 * time.Second
+
 // replaySeeds is the number of replays of a load whose results are averaged. The order in which a round considers equal
 // workers is not fixed, and the largest tenth of one replay is about 30 jobs, so that its share alone varies by a
 // tenth.
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -69,8 +69,12 @@
 	timings     map[*batch.Job]jobTiming
 	// reservations holds where the gangs with reserved capacity will run.
 	reservations map[*batch.Step][]sessionShare
-	ended        []endedJob
-	speeds       map[string]*workerSpeed
+	// probePool holds the workers that are kept for tasks that must run alone; aloneSince is since when each of these tasks
+	// waits.
+	probePool  []*session
+	aloneSince map[*batch.Task]time.Duration
+	ended      []endedJob
+	speeds     map[string]*workerSpeed
 	// sessionsByFree caches the usable workers at sessionsByFreeAt, ordered by descending free capacity.
 	sessionsByFree   []*session
 	sessionsByFreeAt time.Duration
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -45,6 +45,14 @@
 	failureStreak int
 	// pausedUntil is until when the worker gets no runs because of its failures.
 	pausedUntil time.Duration
+	// lastStartAt is when a run was last started on the worker.
+	lastStartAt time.Duration
+	// probeUntil is until when the worker gets no runs beside an isolated task; takenInRound is the number of the last
+	// round that kept it for one.
+	probeUntil   time.Duration
+	takenInRound uint64
+	// pooledInRound is the number of the last round that had the worker in the probe pool.
+	pooledInRound uint64
 	// reserved is set while a gang reserves capacity on the worker.
 	reserved bool
 	// speed is shared by all incarnations of the worker.
--- a/controld/internal/scheduler/wait.go
+++ b/controld/internal/scheduler/wait.go
@@ -49,6 +49,9 @@
 	if why, detail := sc.missingConsent(step, now); why != reason.None {
 		return why, detail
 	}
+	if isIsolated(step) {
+		return reason.WaitsForIsolation, ""
+	}
 	index := slices.Index(sc.lastRound.steps, step)
 	if index < 0 {
 		return reason.BehindOthers, ""
@@ -75,6 +78,13 @@
 	return reason.WaitsForAll, detail
 }
 
+// isIsolated reports whether a task of a step waits and must be isolated.
+func isIsolated(step *batch.Step) bool {
+	return step.Suspected() && slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool {
+		return t.Waiting() && isolationOf(t) != notIsolated
+	})
+}
+
 // missingWorker returns why no worker could run a step even if idle, or reason.None if one could.
 func (sc *Scheduler) missingWorker(step *batch.Step, now time.Duration) reason.Reason {
 	found := false
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -25,6 +25,7 @@
 	RecoveryRateLimited  Reason = "recovery_rate_limited"
 	WaitsForStep         Reason = "waits_for_earlier_step"
 	WaitsForConsent      Reason = "waits_for_consent"
+	WaitsForIsolation    Reason = "waits_for_isolation"
 )
 
 // Reasons why a request or a change was refused or retried.
