allocator: gangs that are late keep no capacity for later while most is free

Ruled out: consent calls for isolated tasks, which were limited before.

The new case of TestDecide fails without the change.

--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -183,6 +183,8 @@
 	urgentCPU []int64
 	// stopped holds the handles of the runs that this round stops.
 	stopped map[int]bool
+	// mostFree is set while more than half of the processors are free.
+	mostFree bool
 	// reserving counts the waiting gangs that were allowed to reserve capacity.
 	reserving int
 	// placedOn is set for workers on which this round placed a task.
@@ -199,9 +201,13 @@
 		reservations: make([][]reservation, len(workers)), stopped: map[int]bool{},
 		placedOn: make([]bool, len(workers)), urgentCPU: make([]int64, len(workers)),
 	}
+	var capacity, free int64
 	for i := range workers {
 		r.free[i] = workers[i].Free
+		capacity += workers[i].Capacity.CPU()
+		free += workers[i].Free.CPU()
 	}
+	r.mostFree = 2*free > capacity
 	for d := range demands {
 		r.reserve(d, demands[d].Reserved, 0)
 	}
--- a/controld/internal/allocator/allocator_test.go
+++ b/controld/internal/allocator/allocator_test.go
@@ -93,6 +93,9 @@
 	racks[0].Rack, racks[1].Rack, racks[2].Rack = "a", "b", "b"
 	unproven := workers(32)
 	unproven[0].Unproven = true
+	far := map[int][]Run{1: {{Handle: 1, Need: cores(24), Remaining: 5 * time.Second}}}
+	lateAndOverdue := []Demand{gang(4, 9, candidatesOn(2)), gang(2, 9, candidatesOn(1))}
+	lateAndOverdue[0].Lateness, lateAndOverdue[1].Lateness = Late, Overdue
 	tests := []struct {
 		name    string
 		config  Config
@@ -215,6 +218,16 @@
 			demands: []Demand{func() Demand { d := gang(2, 9, candidatesOn(2)); d.Lateness = Late; return d }()},
 			check:   func(t *testing.T, plan Plan) { require.Empty(t, plan.Preempt) },
 		},
+		{
+			name: "a late gang keeps capacity that it uses later while little is free", config: policy,
+			workers: workers(22, 8), runs: far, demands: lateAndOverdue,
+			check: func(t *testing.T, plan Plan) { require.Empty(t, plan.Placements) },
+		},
+		{
+			name: "a late gang keeps no capacity that it uses later while most is free", config: policy,
+			workers: workers(22, 8, 32, 32), runs: far, demands: lateAndOverdue,
+			check: func(t *testing.T, plan Plan) { require.Equal(t, []int{0, 0}, workersOf(plan, 1)) },
+		},
 		{
 			name: "less urgent work leaves the headroom free", config: policy, workers: workers(5),
 			demands: []Demand{
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -61,9 +61,17 @@
 	shares := waiting.shares(offers)
 	r.plan.WaitingGangs = append(r.plan.WaitingGangs,
 		WaitingGang{Demand: index, Feasible: ok, StartIn: waiting.startIn, Shares: shares, MayReserve: true})
+	if r.mostFree && d.Lateness != InTime && waiting.startIn > lateReservationLead {
+		// What is late anyway must not keep idle capacity from gangs that could use it now.
+		return
+	}
 	r.reserve(index, shares, waiting.startIn)
 }
 
+// lateReservationLead is how close the start of a gang that is late must be for it to reserve capacity while most of it
+// is free.
+const lateReservationLead = time.Second
+
 // offers returns the candidates on which at least one member fits, fastest workers first.
 func (r *round) offers(d *Demand) []offer {
 	var offers []offer
