A worker that shrinks: count accelerators, order its reports, need them fresh

- A report with fewer accelerators was not taken for a change, so it was never committed and the former number stayed in force.
- Reports had no order: one that was overtaken on its way brought the former capacity back until the next.
They carry the number that the worker gives them now (seq), and an older one changes nothing.
- A worker that answers orders but whose reports do not arrive kept its last known capacity for ever.
It gets no new runs once its last report is older than an interval of reports and the grace after a change together, both new settings filled in from the platform's.

--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -28,6 +28,9 @@
 }
 
 func (inc *Incarnation) update(report *wire.WorkerLife) {
+	if inc.IsOutdated(report) {
+		return
+	}
 	// A draining worker stays draining until it restarts. An older report that arrives late must not undo that.
 	inc.draining = inc.draining || report.GetDraining()
 	inc.report = report
@@ -52,6 +55,12 @@
 	delete(inc.tasks, t)
 }
 
+// IsOutdated reports whether a report of the incarnation is older than one that was committed. It may give a capacity
+// that has shrunk since.
+func (inc *Incarnation) IsOutdated(report *wire.WorkerLife) bool {
+	return report.GetSequence() > 0 && report.GetSequence() < inc.report.GetSequence()
+}
+
 // Worker returns the worker's id.
 func (inc *Incarnation) Worker() string { return inc.worker }
 
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -22,7 +22,7 @@
 				Pool:          report.GetPool(),
 				FailureDomain: report.GetFailureDomain(), CpuMillis: report.GetCpuMillis(),
 				MemoryMb: report.GetMemoryMb(), Gpus: report.GetGpus(), Labels: report.GetLabels(),
-				Rack: report.GetRack(), Draining: true,
+				Rack: report.GetRack(), Draining: true, Sequence: report.GetSequence(),
 			}
 		}
 		state.Workers = append(state.Workers, report)
--- a/controld/internal/explainer/queue_workers.go
+++ b/controld/internal/explainer/queue_workers.go
@@ -16,6 +16,7 @@
 	scheduler.WorkerNotReported:    {"unheard", " It has not answered this leader yet, so it gets no new runs."},
 	scheduler.WorkerSilent:         {"silent", " It does not answer; it gets no new runs, and what it runs is placed again when its lease is over."},
 	scheduler.WorkerDraining:       {"draining", " It leaves, so it gets no new runs."},
+	scheduler.WorkerReportOverdue:  {"held", " It answers but has not reported itself lately, so its capacity may have shrunk; it gets no new runs."},
 	scheduler.WorkerPaused:         {"held", " It failed its last runs, so it gets none for some seconds and then one at a time."},
 	scheduler.WorkerHasUnknownRuns: {"held", " It runs what the log does not hold there; that is being stopped, and it gets no new runs until then."},
 }
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -29,6 +29,9 @@
 	StartLease time.Duration
 	// ClockDriftPercent is how much slower than the leader's clock a worker's clock may run at most.
 	ClockDriftPercent int
+	// ReportValidity is how long after its last report a worker gets new runs. After that its capacity may have shrunk. 0
+	// means without limit.
+	ReportValidity time.Duration
 	// EndedJobRetention is how long an ended job is kept.
 	EndedJobRetention time.Duration
 	Logger            *slog.Logger
--- a/controld/internal/scheduler/scheduler_test.go
+++ b/controld/internal/scheduler/scheduler_test.go
@@ -606,6 +606,52 @@
 	require.NotNil(t, h.RecordReport(draining, h.now))
 }
 
+// TestCapacityReports guards against starting runs beyond the capacity of a worker that has shrunk: its reports of less
+// capacity must be committed, a report that was overtaken must not bring the former capacity back, and without reports
+// a worker gets no new runs.
+func TestCapacityReports(t *testing.T) {
+	report := func(sequence uint64, cpuMillis, memoryMB, gpus int64) *wire.WorkerLife {
+		r := workerLife("w1", 1)
+		r.Sequence, r.CpuMillis, r.MemoryMb, r.Gpus = sequence, cpuMillis, memoryMB, gpus
+		return r
+	}
+	tests := []struct {
+		name    string
+		report  *wire.WorkerLife
+		commits bool
+	}{
+		{"no change", report(4, 8000, 8000, 2), false},
+		{"fewer processors", report(4, 4000, 8000, 2), true},
+		{"less memory", report(4, 8000, 4000, 2), true},
+		{"fewer accelerators", report(4, 8000, 8000, 1), true},
+		{"sent again", report(3, 4000, 8000, 2), true},
+		{"overtaken", report(2, 4000, 8000, 2), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{report(1, 8000, 8000, 2)}})
+			// Without a change it is not committed, but later reports are compared with it.
+			require.Nil(t, h.RecordReport(report(3, 8000, 8000, 2), h.now))
+			require.Equal(t, test.commits, h.RecordReport(test.report, h.now) != nil)
+		})
+	}
+	h := newHarness(t, nil, "w1")
+	h.cfg.ReportValidity = 4 * time.Second
+	h.connectWorkers()
+	for range 6 {
+		h.advance(700 * time.Millisecond)
+		h.answerRenewals(nil, nil)
+	}
+	h.submit(oneTaskStep())
+	h.advance(time.Millisecond)
+	require.Empty(t, h.work.Starts)
+	require.Equal(t, WorkerReportOverdue, h.WorkerState(h.batch.Incarnation("w1"), h.now))
+	h.RecordReport(workerLife("w1", 1), h.now)
+	h.advance(decideInterval)
+	require.Len(t, h.work.Starts, 1)
+}
+
 // TestStartReachesLaterIncarnation guards the task of a worker that restarted under the same id while a start was in
 // flight. The start may have reached the new incarnation, so the task waits until that incarnation has answered, its
 // capacity is not given away, and a success there counts. Seen in soak seed 1: the task ran twice and the worker was
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -35,6 +35,9 @@
 	lastAnswerAt time.Duration
 	// lastHeardAt is when the worker last answered an order or reported.
 	lastHeardAt time.Duration
+	// reportedAt is when the worker's newest report came, and reportSequence the number of that report.
+	reportedAt     time.Duration
+	reportSequence uint64
 	// unreachable is set while renewals fail.
 	unreachable bool
 	// Numbers of the newest ended run: committedEnd of those that are committed, proposedEnd of those in a proposed
@@ -139,7 +142,7 @@
 	}
 	s := &session{
 		speed: sc.speeds[incarnation.Worker()], incarnation: incarnation,
-		token: sc.token<<incarnationBits + sc.incarnationCount, createdAt: now, lastHeardAt: now, lastAnswerAt: now,
+		token: sc.token<<incarnationBits + sc.incarnationCount, createdAt: now, lastHeardAt: now, lastAnswerAt: now, reportedAt: now,
 		runs: map[*batch.Task]*run{},
 	}
 	for t := range incarnation.Tasks() {
@@ -181,12 +184,20 @@
 	}
 	s := sc.sessionFor(incarnation, now)
 	s.lastHeardAt = now
+	if report.GetSequence() > 0 {
+		if report.GetSequence() < s.reportSequence || incarnation.IsOutdated(report) {
+			return nil
+		}
+		s.reportSequence = report.GetSequence()
+	}
+	s.reportedAt = now
 	if report.GetDraining() && report.GetDrainLeftMs() > 0 {
 		s.drainDeadline = now + time.Duration(report.GetDrainLeftMs())*time.Millisecond
 	}
 	if report.GetAddress() != incarnation.Report().GetAddress() || report.GetDraining() && !incarnation.Draining() ||
 		report.GetCpuMillis() != incarnation.Report().GetCpuMillis() ||
-		report.GetMemoryMb() != incarnation.Report().GetMemoryMb() {
+		report.GetMemoryMb() != incarnation.Report().GetMemoryMb() ||
+		report.GetGpus() != incarnation.Report().GetGpus() {
 		return change
 	}
 	return nil
@@ -195,7 +206,12 @@
 // usable reports whether new runs may be placed on a worker.
 func (sc *Scheduler) usable(s *session, now time.Duration) bool {
 	return s.hasAnswered && len(s.unknownRuns) == 0 && !s.incarnation.Draining() && !s.unreachable &&
-		now >= s.pausedUntil && now-s.lastAnswerAt < sc.cfg.RenewWait+sc.cfg.AnswerTimeout
+		now >= s.pausedUntil && now-s.lastAnswerAt < sc.cfg.RenewWait+sc.cfg.AnswerTimeout && !sc.reportOverdue(s, now)
+}
+
+// reportOverdue reports whether a worker has not reported for so long that its capacity may have shrunk.
+func (sc *Scheduler) reportOverdue(s *session, now time.Duration) bool {
+	return sc.cfg.ReportValidity > 0 && now-s.reportedAt > sc.cfg.ReportValidity
 }
 
 // checkSessions sends the renewals that are due and detects expired leases and lost workers.
--- a/controld/internal/scheduler/state.go
+++ b/controld/internal/scheduler/state.go
@@ -39,6 +39,8 @@
 	WorkerSilent
 	// WorkerDraining means that the worker is about to shut down.
 	WorkerDraining
+	// WorkerReportOverdue means that the worker answers but has not reported lately, so that its capacity may have shrunk.
+	WorkerReportOverdue
 	// WorkerPaused means that the last runs on the worker failed.
 	WorkerPaused
 	// WorkerHasUnknownRuns means that the worker has runs that are not placed there according to the log.
@@ -55,6 +57,8 @@
 		return WorkerDraining
 	case s.unreachable || now-s.lastAnswerAt >= sc.cfg.RenewWait+sc.cfg.AnswerTimeout:
 		return WorkerSilent
+	case sc.reportOverdue(s, now):
+		return WorkerReportOverdue
 	case now < s.pausedUntil:
 		return WorkerPaused
 	case len(s.unknownRuns) > 0:
--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -54,6 +54,10 @@
 	ConsentAddress string `json:"consent_address"`
 	// LongestLeaseMs is the longest lease that workers accept.
 	LongestLeaseMs int `json:"longest_lease_ms"`
+	// ReportIntervalMs is how often workers report themselves.
+	ReportIntervalMs int `json:"report_interval_ms"`
+	// CapacityGraceMs is how long after a worker's capacity has shrunk new runs may still exceed it.
+	CapacityGraceMs int `json:"capacity_grace_ms"`
 	// MaxLostDisks is how many disks may be lost at the same time without losing acknowledged data.
 	MaxLostDisks int `json:"lost_disks"`
 }
@@ -92,6 +96,8 @@
 		c.RemoteAddress("queues.address", s.Queues.Address)
 		c.Numbers([]checker.Number{
 			{Path: "queues.longest_lease_ms", Value: &s.Queues.LongestLeaseMs, Default: 10_000, Min: 1_000, Max: 600_000},
+			{Path: "queues.report_interval_ms", Value: &s.Queues.ReportIntervalMs, Default: 1_500, Min: 100, Max: 60_000},
+			{Path: "queues.capacity_grace_ms", Value: &s.Queues.CapacityGraceMs, Default: 3_000, Min: 1_000, Max: 600_000},
 		})
 	}
 	if s.ElectionMaxMs <= s.ElectionMinMs || s.ElectionMinMs < 3*s.HeartbeatMs {
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -43,6 +43,8 @@
 	workerClockDriftPercent = 2
 	// endedJobRetention is 1.5 times as long as the platform requires the states of ended jobs to be kept.
 	endedJobRetention = 180 * time.Second
+	// orderDelay is how long before the end of a worker's report validity the last start must be decided, to arrive in time.
+	orderDelay = 500 * time.Millisecond
 	// headroomShare of each worker's processors leaves capacity for one task of the short kinds.
 	headroomShare = 0.12
 	// stopTime is how long a run usually takes to end after an order to stop, including the commit of its end. The
@@ -87,7 +89,8 @@
 			Lease: lease, LongestLease: loader.Milliseconds(cfg.Queues.LongestLeaseMs), RenewWait: renewWait,
 			AnswerTimeout: orderAnswerTimeout, StartLease: startLease,
 			ClockDriftPercent: workerClockDriftPercent, EndedJobRetention: endedJobRetention, Logger: log,
-			Allocator: allocator.Config{Headroom: headroomShare, StopTime: stopTime, MaxReservingGangs: maxReservingGangs},
+			ReportValidity: loader.Milliseconds(cfg.Queues.ReportIntervalMs+cfg.Queues.CapacityGraceMs) - orderDelay,
+			Allocator:      allocator.Config{Headroom: headroomShare, StopTime: stopTime, MaxReservingGangs: maxReservingGangs},
 		},
 	}
 }
