--- a/controld/internal/batch/capacity_test.go
+++ b/controld/internal/batch/capacity_test.go
@@ -9,9 +9,9 @@
 )
 
 // reportOf returns a numbered report of the first incarnation of worker w1.
-func reportOf(sequence uint64, cpuMillis, gpus int64) *wire.QueueCommand {
+func reportOf(sequence uint64, cpuMillis int64) *wire.QueueCommand {
 	report := testIncarnation("w1", 1)
-	report.CpuMillis, report.Gpus, report.Sequence = cpuMillis, gpus, sequence
+	report.CpuMillis, report.Sequence = cpuMillis, sequence
 	return &wire.QueueCommand{Workers: []*wire.WorkerLife{report}}
 }
 
@@ -23,12 +23,12 @@
 		reports []*wire.QueueCommand
 		placed  int
 	}{
-		{"as it was", []*wire.QueueCommand{reportOf(3, 8000, 0)}, 1},
-		{"shrunk", []*wire.QueueCommand{reportOf(3, 8000, 0), reportOf(4, 5000, 0)}, 0},
+		{"as it was", []*wire.QueueCommand{reportOf(3, 8000)}, 1},
+		{"shrunk", []*wire.QueueCommand{reportOf(3, 8000), reportOf(4, 5000)}, 0},
 		{"an older report comes late", []*wire.QueueCommand{
-			reportOf(3, 8000, 0), reportOf(5, 5000, 0), reportOf(4, 8000, 0),
+			reportOf(3, 8000), reportOf(5, 5000), reportOf(4, 8000),
 		}, 0},
-		{"grown again", []*wire.QueueCommand{reportOf(3, 8000, 0), reportOf(4, 5000, 0), reportOf(5, 8000, 0)}, 1},
+		{"grown again", []*wire.QueueCommand{reportOf(3, 8000), reportOf(4, 5000), reportOf(5, 8000)}, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -48,7 +48,7 @@
 	apply(b, place(placement(0, 0, 1, "w1", 1)))
 	apply(b, &wire.QueueCommand{Cancel: jobID})
 	other := testJob("00000000000000bb", &wire.JobStep{Count: 1, CpuMillis: 3000})
-	apply(b, &wire.QueueCommand{Submit: other}, reportOf(2, 5000, 0))
+	apply(b, &wire.QueueCommand{Submit: other}, reportOf(2, 5000))
 	later := func(run uint32) *wire.QueueCommand {
 		p := placement(0, 0, run, "w1", 1)
 		p.Job = other.GetId()
