scheduler: suspects neither starve nor starve others

- A worker that falls silent gives no time of its crash, so all that it had begun since its last answer, up to a second, counted as the likely cause.
Gangs then waited for workers without other new runs.
Without a closed connection only a task that was isolated already can be the likely cause.
- Suspects asked for consent as other work does.
- A round considers at most 80 suspects, and a gang of one task is no gang.

--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -59,10 +59,12 @@
 		runs = s.runsWithin(lateCrashWindow)
 	}
 	// The tasks of a job are given up together, so it does not matter which of them caused the crash.
-	jobs, newestJobs, known := map[*batch.Job]bool{}, map[*batch.Job]bool{}, true
+	// Without the time of the crash, runs count as new that began after the worker's last answer. Then only an isolated
+	// task, beside which nothing else began, can be told from others.
+	jobs, newestJobs, known := map[*batch.Job]bool{}, map[*batch.Job]bool{}, newRuns
 	for t, r := range runs {
 		jobs[t.Step().Job()] = true
-		known = known && !r.inherited
+		known = known && !r.inherited && (s.closedClock > 0 || len(t.Crashes()) > 0)
 		if s.survived(r) < newestWindow {
 			newestJobs[t.Step().Job()] = true
 		}
@@ -72,8 +74,8 @@
 		crashes[t] = &wire.WorkerCrash{
 			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
 			Address: s.incarnation.Report().GetAddress(), Run: uint32(t.Run()),
-			OnlySuspect: newRuns && known && len(jobs) == 1, Confirmed: confirmed,
-			Newest: newRuns && known && len(newestJobs) <= maxNewestJobs && newestJobs[t.Step().Job()],
+			OnlySuspect: known && len(jobs) == 1, Confirmed: confirmed,
+			Newest: known && len(newestJobs) <= maxNewestJobs && newestJobs[t.Step().Job()],
 		}
 	}
 	return crashes
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -25,7 +25,7 @@
 // isolationOf returns how a task must be isolated. A gang needs several workers at once, so it never waits for idle ones.
 func isolationOf(t *batch.Task) isolation {
 	crashes := t.Crashes()
-	isGang := t.Step().Spec().GetGang()
+	isGang := startsTogether(t.Step())
 	likely := len(crashes) > 1 ||
 		slices.ContainsFunc(crashes, func(c *batch.Crash) bool { return c.OnlySuspect() || c.Newest() })
 	switch {
@@ -38,6 +38,9 @@
 	}
 }
 
+// startsTogether reports whether a step has several tasks that must start at once.
+func startsTogether(step *batch.Step) bool { return step.Spec().GetGang() && len(step.Tasks()) > 1 }
+
 const (
 	// probeTime is for how long a worker gets no other runs after an isolated task was started there: startWindow and the
 	// time of the order.
@@ -46,8 +49,7 @@
 	// tasks that run alone crash their worker, which then is of no use for some seconds.
 	maxPoolShare  = 0.1
 	maxApartShare = 0.25
-	// minAlonePerRound is how many tasks that run alone a round considers at least. The others would only take the consent
-	// service's time from work that can start.
+	// minAlonePerRound is how many tasks a round may start alone at least, however small the pool is.
 	minAlonePerRound = 4
 	// maxAloneWait is how long a task may wait to run alone, and maxAloneWaitIdle the same while most of the capacity is
 	// free. After that it starts on a worker without other new runs.
@@ -72,20 +74,27 @@
 		return rest
 	}
 	slices.SortStableFunc(isolated, func(a, b isolatedTask) int { return cmp.Compare(a.crashes, b.crashes) })
+	isolated = isolated[:min(len(isolated), maxDemandsPerRound)]
 	sessions := sc.probeSessions(r.now)
 	sc.updateProbePool(isolated, sessions, r)
-	apartLeft := sc.apartStartsLeft(r.now)
+	apartLeft, callsLeft := sc.apartStartsLeft(r.now), sc.isolatedCallsLeft(isolated)
 	aloneLeft := max(minAlonePerRound, len(sc.probePool))
 	for _, task := range isolated {
-		switch {
-		case task.level == runsAlone && (aloneLeft > 0 || sc.mostCapacityFree):
-			sc.placeAlone(r, task, sessions)
-			aloneLeft--
-		case task.level == runsAlone:
-		case apartLeft <= 0 && !sc.mostCapacityFree:
-		case sc.placeApart(r, task, sessions):
-			apartLeft--
-		case task.isGang && sc.mostCapacityFree:
+		left := &apartLeft
+		if task.level == runsAlone {
+			left = &aloneLeft
+		}
+		if *left <= 0 && !sc.mostCapacityFree {
+			continue
+		}
+		if sc.placeIsolatedTask(r, task, sessions) {
+			*left--
+			continue
+		}
+		if callsLeft > 0 && sc.seekConsent(task, sessions, r.now) {
+			callsLeft--
+		}
+		if task.isGang && sc.mostCapacityFree {
 			// There is room for it, so consent is all that it may lack, which is sought for the gangs of the round.
 			rest = append(rest, task.waitingStep)
 		}
@@ -102,7 +111,7 @@
 			rest = append(rest, w)
 			continue
 		}
-		if w.step.Spec().GetGang() {
+		if startsTogether(w.step) {
 			if level := isolationOf(w.tasks[0]); level != notIsolated {
 				isolated = append(isolated, isolatedTask{
 					waitingStep: w, level: level, crashes: len(w.tasks[0].Crashes()), isGang: true,
@@ -213,22 +222,32 @@
 	}
 }
 
-// placeAlone places a task on a worker that has no runs or, after its first crash, only such as are isolated too.
-func (sc *Scheduler) placeAlone(r *round, task isolatedTask, sessions []*session) {
-	idle := func(s *session) bool { return len(s.runs) == 0 || task.crashes == 1 && onlyIsolatedRuns(s) }
-	s := sc.firstFitting(r, task, sessions, idle)
-	maxWait := maxAloneWait
-	if sc.mostCapacityFree {
-		maxWait = maxAloneWaitIdle
+// placeIsolatedTask places a task or a gang and reports whether it has. A task that runs alone needs a worker that has no
+// runs or, after its first crash, only such as are isolated too. Any other needs workers without other new runs.
+func (sc *Scheduler) placeIsolatedTask(r *round, task isolatedTask, sessions []*session) bool {
+	if task.isGang {
+		return sc.placeIsolatedGang(r, task, sessions)
 	}
-	if s == nil && r.now-sc.aloneSince[task.tasks[0]] > maxWait {
-		s = sc.firstFitting(r, task, sessions, nil)
+	var s *session
+	if task.level == runsAlone {
+		s = sc.firstFitting(r, task, sessions, func(s *session) bool {
+			return len(s.runs) == 0 || task.crashes == 1 && onlyIsolatedRuns(s)
+		})
+		maxWait := maxAloneWait
+		if sc.mostCapacityFree {
+			maxWait = maxAloneWaitIdle
+		}
+		if s == nil && r.now-sc.aloneSince[task.tasks[0]] > maxWait {
+			s = sc.firstFitting(r, task, sessions, nil)
+		}
+	} else {
+		s = sc.firstFitting(r, task, sessions, func(s *session) bool { return s.pooledInRound != r.number })
 	}
 	if s == nil {
-		sc.seekConsent(task, r.now)
-		return
+		return false
 	}
 	sc.placeOn(r, task.tasks[0], s)
+	return true
 }
 
 func onlyIsolatedRuns(s *session) bool {
@@ -240,20 +259,6 @@
 	return true
 }
 
-// placeApart places a task or a gang on workers without other new runs. It reports whether it has.
-func (sc *Scheduler) placeApart(r *round, task isolatedTask, sessions []*session) bool {
-	if task.isGang {
-		return sc.placeIsolatedGang(r, task, sessions)
-	}
-	s := sc.firstFitting(r, task, sessions, func(s *session) bool { return s.pooledInRound != r.number })
-	if s == nil {
-		sc.seekConsent(task, r.now)
-		return false
-	}
-	sc.placeOn(r, task.tasks[0], s)
-	return true
-}
-
 // firstFitting returns the first worker with a property that may run a task now; nil stands for any worker.
 func (sc *Scheduler) firstFitting(
 	r *round, task isolatedTask, sessions []*session, property func(*session) bool,
@@ -297,7 +302,6 @@
 		}
 	}
 	if len(chosen) < len(task.tasks) {
-		sc.seekConsent(task, r.now)
 		return false
 	}
 	for i, t := range task.tasks {
@@ -314,15 +318,42 @@
 	})
 }
 
-// seekConsent requests the consent that an isolated task needs for more workers, and again where it has run out.
-func (sc *Scheduler) seekConsent(task isolatedTask, now time.Duration) {
-	if task.step.Job().Queue().GetConsent() == nil {
-		return
+// isolatedCallDivisor bounds the open consent calls for isolated tasks: one in isolatedCallDivisor helpers.
+const isolatedCallDivisor = 3
+
+// isolatedCallsLeft returns how many more consent calls may be made for isolated tasks.
+func (sc *Scheduler) isolatedCallsLeft(isolated []isolatedTask) int {
+	left := max(1, len(sc.helpers)/isolatedCallDivisor)
+	counted := map[*batch.Step]bool{}
+	for _, task := range isolated {
+		if c := sc.consents[task.step]; c != nil && !counted[task.step] {
+			counted[task.step] = true
+			left -= c.openCalls
+		}
+	}
+	return left
+}
+
+// seekConsent requests the consent that an isolated task needs: again where it has run out, on the workers with the
+// least work to lose, or else for more workers. It reports whether it has made a call.
+func (sc *Scheduler) seekConsent(task isolatedTask, sessions []*session, now time.Duration) bool {
+	step := task.step
+	if step.Job().Queue().GetConsent() == nil {
+		return false
+	}
+	c := sc.consentFor(step)
+	if c.openCalls > 0 || c.requestedAt > 0 && now-c.requestedAt < minRequestInterval {
+		return false
+	}
+	limit := spareWorkers + 2*len(task.tasks)
+	var wanted []*session
+	for _, s := range sessions {
+		if t := c.granted[s.incarnation]; t != nil && now >= t.expiresAt && len(wanted) < limit {
+			wanted = append(wanted, s)
+		}
 	}
-	if len(sc.consentFor(task.step).granted) == 0 {
-		sc.requestFirstConsent(task.step, task.lateness, now)
-		return
+	if len(wanted) < len(task.tasks) {
+		wanted = append(wanted, sc.unrequestedWorkers(step, c, limit, now)...)
 	}
-	sc.renewTickets(task.step, task.lateness, nil, now)
-	sc.requestMoreWorkers(task.step, task.lateness, now)
+	return sc.requestConsent(step, wanted, sc.callDelayLimit(task.lateness, maxExtraCallDelay), now) > 0
 }
