soak: jobs with a task that crashes its workers

One in 50 jobs has a task that crashes each worker 10 ms after it began the run; the worker starts again under its id. The soak records a violation when the task is started three times more after three crashes, when its job does not end as failed or canceled, and, as before, when a sound job does not complete.

--- a/standin/internal/soaker/fleet.go
+++ b/standin/internal/soaker/fleet.go
@@ -28,6 +28,11 @@
 	ticketValidity = 2 * time.Second
 	// cancelGrace is how long tasks of a job may still start after its cancellation was acknowledged.
 	cancelGrace = 3 * time.Second
+	// crashDelay is how long after its start a task crashes its worker. After crashLimit crashes a task may be started
+	// fewer than maxStartsAfterLimit times.
+	crashDelay          = 10 * time.Millisecond
+	crashLimit          = 3
+	maxStartsAfterLimit = 3
 )
 
 // fleet is a set of stand-in workers. From the orders that they receive it checks that no task runs twice at a time,
@@ -48,6 +53,9 @@
 	violations []string
 	// canceled maps job ids to when their cancellation was acknowledged.
 	canceled map[string]time.Time
+	// crashing has the ids of jobs whose first task crashes each worker that starts it, and crashes counts those workers.
+	crashing map[string]bool
+	crashes  map[string]int
 	// tickets maps tickets to when they expire.
 	tickets map[string]time.Time
 	consent *http.Server
@@ -86,6 +94,7 @@
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 2)), began: time.Now(),
 		running: map[executor.Run]int{}, done: map[executor.Run]bool{},
+		crashing: map[string]bool{}, crashes: map[string]int{},
 		started: map[string]bool{}, canceled: map[string]time.Time{}, tickets: map[string]time.Time{},
 	}
 	for i := range count {
@@ -293,10 +302,42 @@
 		w.runs[k] = &fleetRun{number: o.Run.Run, endsAt: now.Add(taskDuration)}
 		f.running[k]++
 		f.started[k.Job] = true
+		if f.crashing[k.Job] && k.Step == 0 && k.Index == 0 {
+			f.crashWorker(w, k, late)
+		}
 		return w.answer(executor.Done)
 	})
 }
 
+// markCrashing marks a job as one whose first task crashes its workers.
+func (f *fleet) markCrashing(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashing[job] = true
+}
+
+func (f *fleet) isCrashing(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashing[job]
+}
+
+// crashWorker lets a task crash its worker, which starts again under its id.
+func (f *fleet) crashWorker(w *worker, task executor.Run, late bool) {
+	if f.crashes[task.Job] >= crashLimit+maxStartsAfterLimit-1 && !late {
+		f.recordViolation("task %v is started again after %d workers have crashed under it", task, f.crashes[task.Job])
+	}
+	f.crashes[task.Job]++
+	startedUnixMs := w.startedUnixMs
+	time.AfterFunc(crashDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.startedUnixMs == startedUnixMs {
+			w.reset(time.Now())
+		}
+	})
+}
+
 // Stop implements executor.Executor.
 func (w *worker) Stop(_ context.Context, to executor.Address, o executor.Stop) executor.Answer {
 	return w.deliver(to, func(bool) executor.Answer {
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -30,6 +30,8 @@
 	callTimeout        = 2 * time.Second
 	stopTimeout        = 15 * time.Second
 	maxAttempts        = 40
+	// One in crashOneIn jobs has a task that crashes its workers, on average.
+	crashOneIn = 50
 	// One in cancelOneIn accepted jobs is canceled, on average.
 	cancelOneIn = 20
 )
@@ -306,6 +308,11 @@
 		defer s.pendingSubmits.Done()
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		step := &wire.JobStep{Count: uint32(1 + rand.IntN(3)), CpuMillis: 1000, EstimateMs: 300, Gang: rand.IntN(4) == 0}
+		if rand.IntN(crashOneIn) == 0 {
+			// The members of a gang of this fleet end one by one, so that one of them could complete the job.
+			step.Gang = false
+			s.fleet.markCrashing(id)
+		}
 		onlyRefused := true
 		for range maxAttempts {
 			call, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -404,8 +411,8 @@
 	return ok
 }
 
-// settle waits until all accepted jobs have completed or been canceled, and checks the final state of the queues and
-// the configuration.
+// settle waits until all accepted jobs have completed, been canceled or, if they crash their workers, failed, and checks
+// the final state of the queues and the configuration.
 func (s *Soaker) settle(ctx context.Context) {
 	s.mu.Lock()
 	pending := make(map[string]bool, len(s.accepted))
@@ -419,6 +426,10 @@
 			state, status := s.client.State(call, s.frontAddress(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id)
 			cancel()
 			switch {
+			case s.fleet.isCrashing(id):
+				if state == "failed" || state == "canceled" && s.wasCanceled(id) {
+					delete(pending, id)
+				}
 			case state == "completed", state == "canceled" && s.wasCanceled(id):
 				delete(pending, id)
 				s.report.Completed++
@@ -430,7 +441,7 @@
 		return len(pending) == 0
 	})
 	for id := range pending {
-		s.recordViolation("accepted job %s did not complete", id)
+		s.recordViolation("accepted job %s did not end as it should; crashes its workers: %v", id, s.fleet.isCrashing(id))
 	}
 	if len(pending) == 0 {
 		s.checkQueuesEmpty(ctx)
