scheduler: bound the consent calls of suspects; workers for suspects in a file of their own

Found by reading the change: a wide gang that is isolated could name more workers in one call for consent than the service takes (40 tasks: 127 of at most 100). TestSuspectsKeepTheLimitOfCalls fails without the bound.

isolation.go had grown to two things: what must be isolated and when it starts, and the choice of workers for it, which moves to probe.go. Two comments that needed two readings are reworded; decisions are unchanged.

--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -17,8 +17,8 @@
 	// lateCrashWindow is the same for a run on a worker that has no newer run, and for one under which a worker has
 	// crashed before.
 	lateCrashWindow = 3 * time.Second
-	// newestWindow is the same for the run that most likely caused the crash; maxNewestJobs is from how many jobs such runs
-	// may be.
+	// newestWindow is the same for the runs that most likely caused the crash. If they are of more than maxNewestJobs
+	// jobs, none of them is more likely than the other new runs.
 	newestWindow  = 60 * time.Millisecond
 	maxNewestJobs = 2
 	// movedWorkerSilence is how long a worker must not have reported before another process at its address shows that it
@@ -48,7 +48,7 @@
 	if s.incarnation.Draining() {
 		return nil
 	}
-	runs := s.runsWithin(startWindow)
+	runs := s.runsYoungerThan(startWindow)
 	for t, r := range s.runs {
 		if !r.endQueued && s.survived(r) < lateCrashWindow && len(t.Crashes()) > 1 {
 			runs[t] = r
@@ -56,11 +56,11 @@
 	}
 	newRuns := len(runs) > 0
 	if !newRuns {
-		runs = s.runsWithin(lateCrashWindow)
+		runs = s.runsYoungerThan(lateCrashWindow)
 	}
-	// The tasks of a job are given up together, so it does not matter which of them caused the crash.
-	// Without the time of the crash, runs count as new that began after the worker's last answer. Then only an isolated
-	// task, beside which nothing else began, can be told from others.
+	// Suspects are counted by job, because the tasks of a job are given up together. Without a closed connection the time
+	// of the crash is not known, and all that began after the worker's last answer counts as new. Then only an isolated
+	// task, beside which nothing else began, can be told from the others.
 	jobs, newestJobs, known := map[*batch.Job]bool{}, map[*batch.Job]bool{}, newRuns
 	for t, r := range runs {
 		jobs[t.Step().Job()] = true
@@ -81,11 +81,11 @@
 	return crashes
 }
 
-// runsWithin returns the runs that the worker is not known to have lived with for as long as the window.
-func (s *session) runsWithin(window time.Duration) map[*batch.Task]*run {
+// runsYoungerThan returns the runs that the worker is not known to have lived with for an age.
+func (s *session) runsYoungerThan(age time.Duration) map[*batch.Task]*run {
 	runs := map[*batch.Task]*run{}
 	for t, r := range s.runs {
-		if !r.endQueued && s.survived(r) < window {
+		if !r.endQueued && s.survived(r) < age {
 			runs[t] = r
 		}
 	}
@@ -134,7 +134,7 @@
 	}
 	s.crashLogged = true
 	var newRuns []string
-	for t := range s.runsWithin(startWindow) {
+	for t := range s.runsYoungerThan(startWindow) {
 		newRuns = append(newRuns, taskName(t))
 	}
 	slices.Sort(newRuns)
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -42,13 +42,6 @@
 func startsTogether(step *batch.Step) bool { return step.Spec().GetGang() && len(step.Tasks()) > 1 }
 
 const (
-	// probeTime is for how long a worker gets no other runs after an isolated task was started there: startWindow and the
-	// time of the order.
-	probeTime = 400 * time.Millisecond
-	// maxPoolShare and maxApartShare bound the workers that are kept for isolated tasks at a time, as a share of all. Most
-	// tasks that run alone crash their worker, which then is of no use for some seconds.
-	maxPoolShare  = 0.1
-	maxApartShare = 0.25
 	// minAlonePerRound is how many tasks a round may start alone at least, however small the pool is.
 	minAlonePerRound = 4
 	// maxAloneWait is how long a task may wait to run alone, and maxAloneWaitIdle the same while most of the capacity is
@@ -139,89 +132,6 @@
 	return isolated, rest
 }
 
-// probeSessions returns the workers on which an isolated task may start, those with the least work to lose first.
-func (sc *Scheduler) probeSessions(now time.Duration) []*session {
-	var sessions []*session
-	for _, s := range sc.sessions {
-		if sc.usable(s, now) && now >= s.probeUntil && now-s.lastStartAt >= probeTime {
-			sessions = append(sessions, s)
-		}
-	}
-	slices.SortFunc(sessions, func(a, b *session) int {
-		return cmp.Or(compareBools(a.reserved, b.reserved), cmp.Compare(used(a), used(b)),
-			cmp.Compare(a.incarnation.Worker(), b.incarnation.Worker()))
-	})
-	return sessions
-}
-
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
-// used returns the processors of a worker that runs occupy, in thousandths.
-func used(s *session) int64 { return s.incarnation.Capacity().Sub(s.incarnation.Free()).CPU() }
-
-// apartStartsLeft returns on how many more workers tasks may start apart now.
-func (sc *Scheduler) apartStartsLeft(now time.Duration) int {
-	workers, probing := 0, 0
-	for _, s := range sc.sessions {
-		if sc.usable(s, now) {
-			workers++
-		}
-		if now < s.probeUntil {
-			probing++
-		}
-	}
-	return max(1, int(maxApartShare*float64(workers))) - probing
-}
-
-// updateProbePool chooses the workers that get no other new runs, so that they become idle, while tasks wait to run
-// alone. It keeps them out of the round.
-func (sc *Scheduler) updateProbePool(isolated []isolatedTask, sessions []*session, r *round) {
-	wanted := 0
-	since := map[*batch.Task]time.Duration{}
-	for _, task := range isolated {
-		if task.level != runsAlone {
-			continue
-		}
-		wanted++
-		t := task.tasks[0]
-		if since[t] = sc.aloneSince[t]; since[t] == 0 {
-			since[t] = r.now
-		}
-	}
-	sc.aloneSince = since
-	usable := 0
-	for _, s := range sc.sessions {
-		if sc.usable(s, r.now) {
-			usable++
-		}
-	}
-	wanted = min(wanted, max(1, int(maxPoolShare*float64(usable))))
-	sc.probePool = slices.DeleteFunc(sc.probePool, func(s *session) bool {
-		return sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now)
-	})
-	for _, s := range sessions {
-		if len(sc.probePool) >= wanted {
-			break
-		}
-		if !slices.Contains(sc.probePool, s) {
-			sc.probePool = append(sc.probePool, s)
-		}
-	}
-	sc.probePool = sc.probePool[:min(len(sc.probePool), wanted)]
-	for _, s := range sc.probePool {
-		s.pooledInRound = r.number
-	}
-}
-
 // placeIsolatedTask places a task or a gang and reports whether it has. A task that runs alone needs a worker that has no
 // runs or, after its first crash, only such as are isolated too. Any other needs workers without other new runs.
 func (sc *Scheduler) placeIsolatedTask(r *round, task isolatedTask, sessions []*session) bool {
@@ -250,59 +160,6 @@
 	return true
 }
 
-func onlyIsolatedRuns(s *session) bool {
-	for t := range s.runs {
-		if len(t.Crashes()) == 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// firstFitting returns the first worker with a property that may run a task now; nil stands for any worker.
-func (sc *Scheduler) firstFitting(
-	r *round, task isolatedTask, sessions []*session, property func(*session) bool,
-) *session {
-	for _, s := range sessions {
-		if (property == nil || property(s)) && sc.mayProbe(r, task, s) && task.step.Need().FitsIn(s.incarnation.Free()) {
-			return s
-		}
-	}
-	return nil
-}
-
-// mayProbe reports whether an isolated task may use a worker in this round.
-func (sc *Scheduler) mayProbe(r *round, task isolatedTask, s *session) bool {
-	if s.takenInRound == r.number || sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now) ||
-		!eligible(task.step, s.incarnation) {
-		return false
-	}
-	if most := int(task.step.Spec().GetMostPerWorker()); most > 0 && placedOn(task.step, s) >= most {
-		return false
-	}
-	isUnproven := s.failureStreak >= unprovenStreak
-	for _, t := range task.tasks {
-		if t.FailedOn(s.incarnation.Worker()) || isUnproven && (task.isGang || t.FailuresLeft() <= 1) {
-			return false
-		}
-	}
-	if task.step.Job().Queue().GetConsent() == nil {
-		return true
-	}
-	return sc.validTicket(task.step, s.incarnation, r.now) != ""
-}
-
-// placedOn returns how many tasks of a step have a run on a worker.
-func placedOn(step *batch.Step, s *session) int {
-	count := 0
-	for _, t := range step.Tasks() {
-		if t.Incarnation() == s.incarnation {
-			count++
-		}
-	}
-	return count
-}
-
 // placeIsolatedGang places a gang on workers without other new runs if it fits there as a whole.
 func (sc *Scheduler) placeIsolatedGang(r *round, task isolatedTask, sessions []*session) bool {
 	var chosen []*session
@@ -375,5 +232,6 @@
 	if len(wanted) < len(task.tasks) {
 		wanted = append(wanted, sc.unrequestedWorkers(step, c, limit, now)...)
 	}
+	wanted = wanted[:min(len(wanted), maxWorkersPerCall)]
 	return sc.requestConsent(step, wanted, sc.callDelayLimit(task.lateness, maxExtraCallDelay), now) > 0
 }
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -181,3 +181,22 @@
 	h.advance(probeTime)
 	require.Nil(t, suspect.Incarnation(), "it has failed on the only worker")
 }
+
+// TestSuspectsKeepTheLimitOfCalls guards against naming more workers in one consent call than the service takes, when a
+// wide gang needs its consent again for some workers and asks for more.
+func TestSuspectsKeepTheLimitOfCalls(t *testing.T) {
+	h := newConsentHarness(t, 300, 6)
+	h.submit(&wire.JobStep{Count: 40, CpuMillis: 4000, EstimateMs: 1000, Gang: true})
+	step := h.task().Step()
+	granted := make([]string, 0, 30)
+	for worker := range h.batch.Incarnations() {
+		if len(granted) < cap(granted) {
+			granted = append(granted, worker)
+		}
+	}
+	h.grantTickets(step, h.now-time.Second, granted...)
+	task := isolatedTask{waitingStep: waitingStep{step: step, tasks: step.Tasks()}, level: startsApart, isGang: true}
+	h.Take()
+	require.True(t, h.seekConsent(task, h.probeSessions(h.now+time.Second), h.now+time.Second))
+	require.Len(t, h.Take().ConsentRequests[0].Workers, maxWorkersPerCall)
+}
