scheduler: likely causes of crashes wait until most capacity is free

Ruled out: processor time of the leader (0.08 of a core), the number of suspects (140 in 34 s).

A task under which two workers have crashed waits until most of the capacity is free, for 20 s at most: it would most likely take another worker away.

TestLikelyCausesWaitForFreeCapacity fails without the rule.

--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -45,7 +45,8 @@
 	// minAlonePerRound is how many tasks a round may start alone at least, however small the pool is.
 	minAlonePerRound = 4
 	// maxAloneWait is how long a task may wait to run alone, and maxAloneWaitIdle the same while most of the capacity is
-	// free. After that it starts on a worker without other new runs.
+	// free. After that it starts on a worker without other new runs. A task that is deferred waits for maxAloneWait before
+	// it may run alone.
 	maxAloneWait     = 20 * time.Second
 	maxAloneWaitIdle = time.Second
 )
@@ -77,7 +78,7 @@
 		if task.level == runsAlone {
 			left = &aloneLeft
 		}
-		if *left <= 0 && !sc.mostCapacityFree {
+		if *left <= 0 && !sc.mostCapacityFree || sc.isDeferred(task, r.now) {
 			continue
 		}
 		if sc.placeIsolatedTask(r, task, sessions) {
@@ -95,6 +96,13 @@
 	return rest
 }
 
+// isDeferred reports whether a task that must run alone waits until most of the capacity is free. After a second crash it
+// most likely crashes the next worker too, which would be missed while the capacity is in use.
+func (sc *Scheduler) isDeferred(task isolatedTask, now time.Duration) bool {
+	return task.level == runsAlone && task.crashes > 1 && !sc.mostCapacityFree &&
+		now-sc.aloneSince[task.tasks[0]] < maxAloneWait
+}
+
 // splitIsolated separates the isolated tasks from the others.
 func splitIsolated(waiting []waitingStep) ([]isolatedTask, []waitingStep) {
 	var isolated []isolatedTask
@@ -195,12 +203,16 @@
 	})
 }
 
-// isolatedCallDivisor bounds the open consent calls for isolated tasks: one in isolatedCallDivisor helpers.
-const isolatedCallDivisor = 3
+// isolatedCallDivisor bounds the open consent calls for isolated tasks: one in isolatedCallDivisor helpers, and twice as
+// many while most of the capacity is free.
+const isolatedCallDivisor = 6
 
 // isolatedCallsLeft returns how many more consent calls may be made for isolated tasks.
 func (sc *Scheduler) isolatedCallsLeft(isolated []isolatedTask) int {
 	left := max(1, len(sc.helpers)/isolatedCallDivisor)
+	if sc.mostCapacityFree {
+		left *= 2
+	}
 	counted := map[*batch.Step]bool{}
 	for _, task := range isolated {
 		if c := sc.consents[task.step]; c != nil && !counted[task.step] {
@@ -233,5 +245,5 @@
 		wanted = append(wanted, sc.unrequestedWorkers(step, c, limit, now)...)
 	}
 	wanted = wanted[:min(len(wanted), maxWorkersPerCall)]
-	return sc.requestConsent(step, wanted, sc.callDelayLimit(task.lateness, maxExtraCallDelay), now) > 0
+	return sc.requestConsent(step, wanted, maxExtraCallDelay, now) > 0
 }
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -200,3 +200,34 @@
 	require.True(t, h.seekConsent(task, h.probeSessions(h.now+time.Second), h.now+time.Second))
 	require.Len(t, h.Take().ConsentRequests[0].Workers, maxWorkersPerCall)
 }
+
+// TestLikelyCausesWaitForFreeCapacity guards against spending workers on tasks under which two have crashed while the
+// capacity is in use: each start most likely takes another worker away for some seconds.
+func TestLikelyCausesWaitForFreeCapacity(t *testing.T) {
+	h := newHarness(t, nil, "w1", "w2", "w3", "w4", "w5")
+	h.connectWorkers()
+	suspect := h.submitNamed(testJobID)
+	for range 2 {
+		h.advance(probeTime)
+		h.advance(probeTime)
+		require.NotNil(t, suspect.Incarnation())
+		h.loseWorker(suspect, &wire.WorkerCrash{OnlySuspect: true})
+		h.answerRenewals(nil, nil)
+	}
+	large := oneTaskStep()
+	large.Count, large.CpuMillis = 2, 8000
+	h.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{
+		Id: "00000000000000b1", Queue: "q", Steps: []*wire.JobStep{large},
+	}})
+	h.commit(&wire.QueueCommand{Placements: []*wire.RunPlacement{
+		{Job: "00000000000000b1", Index: 0, Run: 1, Worker: "w4", BornUnixMs: 1},
+		{Job: "00000000000000b1", Index: 1, Run: 1, Worker: "w5", BornUnixMs: 1},
+	}})
+	h.advance(probeTime)
+	h.advance(decideInterval)
+	require.Nil(t, suspect.Incarnation(), "two of three workers are in use")
+	h.commit(&wire.QueueCommand{Ends: []*wire.RunEnd{newRunEnd(runID(h.batch.Task("00000000000000b1", 0, 0), 1),
+		runResult{outcome: wire.RunOutcome_RUN_OUTCOME_DONE})}})
+	h.advance(decideInterval)
+	require.NotNil(t, suspect.Incarnation())
+}
--- a/controld/internal/scheduler/probe.go
+++ b/controld/internal/scheduler/probe.go
@@ -14,7 +14,7 @@
 	probeTime = 400 * time.Millisecond
 	// maxPoolShare and maxApartShare bound the workers that are kept for isolated tasks at a time, as a share of all. Most
 	// tasks that run alone crash their worker, which then is of no use for some seconds.
-	maxPoolShare  = 0.1
+	maxPoolShare  = 0.05
 	maxApartShare = 0.25
 )
 
@@ -70,13 +70,17 @@
 		if task.level != runsAlone {
 			continue
 		}
-		wanted++
 		t := task.tasks[0]
 		if since[t] = sc.aloneSince[t]; since[t] == 0 {
 			since[t] = r.now
 		}
 	}
 	sc.aloneSince = since
+	for _, task := range isolated {
+		if task.level == runsAlone && !sc.isDeferred(task, r.now) {
+			wanted++
+		}
+	}
 	usable := 0
 	for _, s := range sc.sessions {
 		if sc.usable(s, r.now) {
