scheduler: TestLikelyCausesWaitForFreeCapacity uses the workers that are left

Cause: the test was wrong, not the scheduler. It places two large runs on w4 and w5, but the two crashes before take any two of the five workers, as equal workers are considered in no fixed order.

The runs now go to two of the three workers that are left, and the test checks that they run.

Ruled out: a decision that differs with time; the test has its own clock.

--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -214,15 +214,24 @@
 		h.loseWorker(suspect, &wire.WorkerCrash{OnlySuspect: true})
 		h.answerRenewals(nil, nil)
 	}
+	// The two that crashed may be any of the workers.
+	var left []string
+	for worker := range h.batch.Incarnations() {
+		left = append(left, worker)
+	}
+	require.Len(t, left, 3)
 	large := oneTaskStep()
 	large.Count, large.CpuMillis = 2, 8000
 	h.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{
 		Id: "00000000000000b1", Queue: "q", Steps: []*wire.JobStep{large},
 	}})
 	h.commit(&wire.QueueCommand{Placements: []*wire.RunPlacement{
-		{Job: "00000000000000b1", Index: 0, Run: 1, Worker: "w4", BornUnixMs: 1},
-		{Job: "00000000000000b1", Index: 1, Run: 1, Worker: "w5", BornUnixMs: 1},
+		{Job: "00000000000000b1", Index: 0, Run: 1, Worker: left[0], BornUnixMs: 1},
+		{Job: "00000000000000b1", Index: 1, Run: 1, Worker: left[1], BornUnixMs: 1},
 	}})
+	for index := range 2 {
+		require.NotNil(t, h.batch.Task("00000000000000b1", 0, index).Incarnation())
+	}
 	h.advance(probeTime)
 	h.advance(decideInterval)
 	require.Nil(t, suspect.Incarnation(), "two of three workers are in use")
