--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -84,13 +84,15 @@
 // replay runs a load against a Scheduler in simulated time.
 type replay struct {
 	*Scheduler
-	load        load
-	rand        *rand.Rand
-	now         time.Duration
-	batch       *batch.Batch
-	workers     map[string]*replayWorker
-	workerNames []string
-	jobs        map[string]*replayJob
+	load load
+	// rand draws the arriving jobs, and grants what the consent service allows. They are apart, so that the same jobs
+	// arrive however the Scheduler decides.
+	rand, grants *rand.Rand
+	now          time.Duration
+	batch        *batch.Batch
+	workers      map[string]*replayWorker
+	workerNames  []string
+	jobs         map[string]*replayJob
 	// idleWaits is how long each job has waited so far while suitable workers were idle, and longestIdleWait the longest
 	// of these waits.
 	idleWaits       map[string]time.Duration
@@ -110,7 +112,7 @@
 
 func newReplay(l load, seed uint64) *replay {
 	r := &replay{
-		load: l, rand: rand.New(rand.NewPCG(seed, 2)), now: time.Minute, batch: batch.New(),
+		load: l, rand: rand.New(rand.NewPCG(seed, 2)), grants: rand.New(rand.NewPCG(seed, 3)), now: time.Minute, batch: batch.New(),
 		workers: map[string]*replayWorker{}, jobs: map[string]*replayJob{},
 		scheduled: map[time.Duration][]func(){}, helperFreeAt: map[string]time.Duration{},
 		results: make([]kindResult, len(l.kinds)),
@@ -349,7 +351,7 @@
 		answer := executor.Consent{}
 		for _, w := range request.Workers {
 			if _, drawn := granted[w]; !drawn {
-				granted[w] = r.rand.Float64() < r.load.kinds[r.jobs[request.Step.Job().ID()].kind].grantedShare
+				granted[w] = r.grants.Float64() < r.load.kinds[r.jobs[request.Step.Job().ID()].kind].grantedShare
 			}
 			if granted[w] {
 				answer.Tickets = append(answer.Tickets, executor.Ticket{Worker: w, Ticket: "t"})
@@ -613,7 +615,7 @@
 		granted: map[string]bool{},
 	}
 	for _, name := range r.workerNames {
-		j.granted[name] = kind.consent == nil || r.rand.Float64() < kind.grantedShare
+		j.granted[name] = kind.consent == nil || r.grants.Float64() < kind.grantedShare
 	}
 	spec := &wire.SubmittedJob{Id: j.id, Queue: kind.name}
 	gang, checkpoints := r.rand.Float64() < kind.gangShare, r.rand.Float64() < kind.checkpointShare
