batch, scheduler: a worker that answers again has not crashed

What users would see: a task whose workers are cut off counts each loss as a crash. It is isolated from its first loss on, so that it waits, and after five losses its sound job fails, although every worker was only silent.

Cause: the loss of a silent worker is recorded as an unconfirmed crash, because it may be one. A successor confirms it, but nothing refuted it when the same incarnation answered again.

Change: a worker that answers a renewal, or reports, in the incarnation of an unconfirmed crash refutes it through the log, on every node; an older report than the newest committed one does not. FD2405 tells so.

Evidence: TestSilentWorkerIsNoCrash failed before ('Should be empty'). It was about four losses and the limit of five; it is now about seven, with no crash left after each, which is stricter. TestReturnedWorkerRefutesCrash fails without the check for older reports. Ruled out: not to record the loss of a silent worker. A task that crashes workers whose hosts go dark would then never be suspected.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -44,6 +44,14 @@
 	Ended []EndedRun
 	// Accepted is the new job, or nil.
 	Accepted *Job
+	// Refuted holds the crashes that no longer count, because the worker has reported again.
+	Refuted []RefutedCrash
+}
+
+// RefutedCrash is a crash that counted against a task although the worker was only cut off.
+type RefutedCrash struct {
+	Task  *Task
+	Crash *Crash
 }
 
 // EndedRun is a run that no longer occupies resources on its worker.
@@ -314,6 +322,9 @@
 		b.incarnations[report.GetWorker()] = newIncarnation(report)
 		return
 	}
+	if !present.IsOutdated(report) {
+		b.refuteCrashes(report, effect)
+	}
 	present.update(report)
 }
 
--- a/controld/internal/batch/crash.go
+++ b/controld/internal/batch/crash.go
@@ -191,3 +191,30 @@
 		b.giveUpIfDue(u.task)
 	}
 }
+
+// HasUnconfirmedCrash reports whether an incarnation counts as crashed for a task although it may only be cut off.
+func (b *Batch) HasUnconfirmedCrash(inc *Incarnation) bool {
+	return slices.ContainsFunc(b.unconfirmed, func(u unconfirmedCrash) bool { return u.crash.isOf(inc.report) })
+}
+
+// refuteCrashes removes the crashes of an incarnation that has reported again: it was only cut off.
+func (b *Batch) refuteCrashes(report *wire.WorkerLife, effect *Effect) {
+	b.unconfirmed = slices.DeleteFunc(b.unconfirmed, func(u unconfirmedCrash) bool {
+		if !u.crash.isOf(report) {
+			return false
+		}
+		u.task.removeCrash(u.crash)
+		effect.Refuted = append(effect.Refuted, RefutedCrash{Task: u.task, Crash: u.crash})
+		return true
+	})
+}
+
+// isOf reports whether the crash is that of the incarnation of a report.
+func (c *Crash) isOf(report *wire.WorkerLife) bool {
+	return c.worker == report.GetWorker() && c.startedUnixMs == report.GetBornUnixMs()
+}
+
+func (t *Task) removeCrash(crash *Crash) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *Crash) bool { return c == crash })
+	t.step.suspected = slices.ContainsFunc(t.step.tasks, func(member *Task) bool { return len(member.crashes) > 0 })
+}
--- a/controld/internal/batch/crash_test.go
+++ b/controld/internal/batch/crash_test.go
@@ -77,3 +77,46 @@
 		})
 	}
 }
+
+// TestReturnedWorkerRefutesCrash guards against counting the loss of a worker that was only cut off against a task, also
+// after a snapshot. A worker whose successor has reported, or an older report of the worker, refutes nothing.
+func TestReturnedWorkerRefutesCrash(t *testing.T) {
+	const lostRun, sequence = 1, 5
+	returned := testIncarnation("c", 10)
+	returned.Sequence = sequence + 1
+	overtaken := testIncarnation("c", 10)
+	overtaken.Sequence = sequence - 1
+	restarted := testIncarnation("c", 11)
+	tests := []struct {
+		name    string
+		reports []*wire.WorkerLife
+		crashes int
+	}{
+		{"no report", nil, 1},
+		{"the same incarnation", []*wire.WorkerLife{returned}, 0},
+		{"a report from before the loss", []*wire.WorkerLife{overtaken}, 1},
+		{"its successor", []*wire.WorkerLife{restarted}, 1},
+		{"its successor, then a late report", []*wire.WorkerLife{restarted, returned}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newTestBatch(&wire.JobStep{Count: 1, CpuMillis: 1000})
+			worker := testIncarnation("c", 10)
+			worker.Sequence = sequence
+			apply(b, &wire.QueueCommand{Workers: []*wire.WorkerLife{worker}}, place(placement(0, 0, lostRun, "c", 10)))
+			lost := ended(0, 0, lostRun, cutShort)
+			lost.Crash = &wire.WorkerCrash{Worker: "c", BornUnixMs: 10, Run: lostRun, OnlySuspect: true}
+			apply(b, end(lost))
+			b = Restore(b.State())
+			require.Len(t, b.Task(jobID, 0, 0).Crashes(), 1)
+			require.True(t, b.HasUnconfirmedCrash(b.Incarnation("c")))
+			for _, report := range test.reports {
+				apply(b, &wire.QueueCommand{Workers: []*wire.WorkerLife{report}})
+			}
+			b = Restore(b.State())
+			require.Len(t, b.Task(jobID, 0, 0).Crashes(), test.crashes)
+			require.Equal(t, test.crashes > 0, b.Task(jobID, 0, 0).Step().Suspected())
+			require.Equal(t, test.reports == nil || test.reports[0] == overtaken, b.HasUnconfirmedCrash(b.Incarnation("c")))
+		})
+	}
+}
--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -150,6 +150,13 @@
 		"crashes", len(t.Crashes()))
 }
 
+// logRefuted logs that a crash no longer counts against a task.
+func (sc *Scheduler) logRefuted(refuted batch.RefutedCrash) {
+	t := refuted.Task
+	logger.CrashRefuted.Log(sc.cfg.Logger, "job", t.Step().Job().ID(), "step", t.Step().Number(), "index", t.Index(),
+		"run", refuted.Crash.Run(), "worker", refuted.Crash.Worker(), "crashes", len(t.Crashes()))
+}
+
 // logGivenUp logs the crashes for which a job has failed.
 func (sc *Scheduler) logGivenUp(j *batch.Job) {
 	given := j.GivenUp()
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -129,13 +129,13 @@
 	}
 }
 
-// TestSilentWorkerIsNoCrash guards against giving up the task of workers that are cut off for a while: they have not
-// crashed, however often it happens within the limit for workers that never return.
+// TestSilentWorkerIsNoCrash guards against giving up or isolating the task of workers that are cut off for a while: they
+// have not crashed, however often it happens.
 func TestSilentWorkerIsNoCrash(t *testing.T) {
 	h := newHarness(t, nil, "w1")
 	h.connectWorkers()
 	task := h.submitNamed(testJobID)
-	for range 4 {
+	for range 7 {
 		h.advance(probeTime)
 		h.advance(time.Millisecond)
 		require.NotNil(t, task.Incarnation())
@@ -147,13 +147,15 @@
 			h.work.Renewals = nil
 		}
 		require.Nil(t, task.Incarnation(), "the lease is over")
+		require.Len(t, task.Crashes(), 1, "the worker may have crashed")
 		h.advance(time.Second)
 		h.answerRenewals(nil, nil)
 		h.advance(time.Millisecond)
+		require.Empty(t, task.Crashes(), "the worker has not crashed")
+		require.False(t, task.Step().Suspected())
 		h.answerRenewals(nil, nil)
 	}
-	require.Len(t, task.Crashes(), 4)
-	require.Equal(t, wire.JobPhase_JOB_PHASE_QUEUED, task.Step().Job().Phase())
+	require.NotEqual(t, wire.JobPhase_JOB_PHASE_FAILED, task.Step().Job().Phase())
 }
 
 // TestSuspectsKeepTheLimitsOfOthers guards against starting an isolated task where it may not run or should not: beside
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -49,6 +49,9 @@
 	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
 	s.latestClock = max(s.latestClock, answer.Clock)
 	s.lastAnswerAt, s.lastHeardAt, s.renewAt = now, now, now
+	if sc.batch.HasUnconfirmedCrash(s.incarnation) {
+		sc.returned[s.incarnation] = true
+	}
 	sc.recordEnds(s, report, now)
 	sc.reconcileRuns(s, o, report, now)
 	if s.renewAt <= now {
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -102,6 +102,8 @@
 	unackedSessions []*session
 	// lostWorkers holds the workers that the next command removes.
 	lostWorkers []*wire.WorkerLife
+	// returned holds the workers that have answered after they counted as crashed; the next command tells so.
+	returned map[*batch.Incarnation]bool
 	// proposed is the command that was proposed to the log and is not yet applied, or nil.
 	proposed *wire.QueueCommand
 	// changed is set by events that call for a new round; decideBy is when the next round takes place without one.
@@ -165,7 +167,7 @@
 	}
 	sc := &Scheduler{
 		cfg: cfg, batch: b, token: token, leaderSince: now, alloc: allocator.New(cfg.Allocator),
-		sessions: map[string]*session{}, consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
+		sessions: map[string]*session{}, consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{}, returned: map[*batch.Incarnation]bool{},
 		timings: map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
 		meanWork: map[string]float64{},
@@ -197,6 +199,9 @@
 	for _, end := range effect.Ended {
 		sc.removeEndedRun(end, now)
 	}
+	for _, refuted := range effect.Refuted {
+		sc.logRefuted(refuted)
+	}
 	for _, t := range effect.Placed {
 		sc.startRun(t, now)
 	}
@@ -300,6 +305,12 @@
 	}
 	command := &wire.QueueCommand{Ends: sc.ends, Gone: sc.lostWorkers}
 	sc.ends, sc.lostWorkers = nil, nil
+	for incarnation := range sc.returned {
+		if sc.currentSession(incarnation) != nil && sc.batch.HasUnconfirmedCrash(incarnation) {
+			command.Workers = append(command.Workers, incarnation.Report())
+		}
+	}
+	clear(sc.returned)
 	if (sc.changed || now >= sc.decideBy) && now >= sc.earliestRound {
 		sc.changed, sc.decideBy = false, now+decideInterval
 		sc.stopUnneededRuns(now)
@@ -309,7 +320,7 @@
 	for _, s := range sc.unackedSessions {
 		s.proposedEnd = s.listedEnd
 	}
-	if len(command.GetEnds())+len(command.GetGone())+len(command.GetPlacements())+len(command.GetForget()) == 0 {
+	if len(command.GetEnds())+len(command.GetGone())+len(command.GetWorkers())+len(command.GetPlacements())+len(command.GetForget()) == 0 {
 		sc.ackEnds(now)
 		return nil
 	}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -45,6 +45,7 @@
 	JobTurnedAway     = define(2402, slog.LevelInfo, "submitted job turned away; it never runs")
 	JobCanceled       = define(2403, slog.LevelInfo, "submitted job canceled")
 	JobEnded          = define(2404, slog.LevelInfo, "submitted job ended")
+	CrashRefuted      = define(2405, slog.LevelInfo, "worker has answered again; its crash no longer counts against the task")
 	RunPlaced         = define(2411, slog.LevelInfo, "run placed on a worker")
 	RunCutShort       = define(2412, slog.LevelInfo, "run ended before its task was done")
 	RunFailed         = define(2413, slog.LevelWarn, "run failed")
