--- a/controld/internal/scheduler/consent.go
+++ b/controld/internal/scheduler/consent.go
@@ -16,6 +16,8 @@
 const (
 	// maxWorkersPerCall is the maximum number of workers in one consent call.
 	maxWorkersPerCall = 100
+	// maxCallsPerHelper is the maximum number of open calls of one helper; the service refuses further ones.
+	maxCallsPerHelper = 32
 	// longCallThreshold is the call duration above which a call may delay short jobs' calls at the same helper.
 	longCallThreshold = 100 * time.Millisecond
 	// shortCallHelperDivisor sets the number of helpers reserved for short calls: one in shortCallHelperDivisor.
@@ -76,6 +78,8 @@
 	// busyUntil is when the calls assigned to this helper should have finished; the service handles a helper's calls one
 	// at a time.
 	busyUntil time.Duration
+	// openCalls is the number of this leader's calls that are not answered.
+	openCalls int
 }
 
 // RecordHelperBeat records the heartbeat of a helper, a process that makes consent calls.
@@ -261,6 +265,7 @@
 	}
 	h, c := sc.helpers[name], sc.consentFor(step)
 	h.busyUntil = max(h.busyUntil, now) + duration
+	h.openCalls++
 	workers := make([]string, 0, len(sessions))
 	for _, s := range sessions {
 		workers = append(workers, s.incarnation.Worker())
@@ -363,11 +368,11 @@
 }
 
 // chooseHelper returns the helper that becomes free first, or the empty string if the call would wait for longer than
-// maxDelay. Some helpers are reserved for short calls, so that these never wait behind long ones.
+// maxDelay or be one too many. Some helpers are reserved for short calls, so that these never wait behind long ones.
 func (sc *Scheduler) chooseHelper(duration, maxDelay, now time.Duration) string {
 	names := make([]string, 0, len(sc.helpers))
 	for name, h := range sc.helpers {
-		if now-h.lastBeatAt < helperTimeout {
+		if now-h.lastBeatAt < helperTimeout && h.openCalls < maxCallsPerHelper {
 			names = append(names, name)
 		}
 	}
@@ -390,6 +395,10 @@
 
 // Consented handles the reply to a ConsentRequest.
 func (sc *Scheduler) Consented(request ConsentRequest, answer executor.Consent, err error, now time.Duration) {
+	if h := sc.helpers[request.Helper]; h != nil {
+		// A helper that left and came back counts its calls anew.
+		h.openCalls = max(0, h.openCalls-1)
+	}
 	c := sc.consents[request.Step]
 	if c == nil {
 		return
--- a/controld/internal/scheduler/consent_test.go
+++ b/controld/internal/scheduler/consent_test.go
@@ -46,6 +46,29 @@
 	require.Len(t, helpers, maxCallsPerStep, "the calls must run concurrently")
 }
 
+// TestCallsAtOneHelperAreBounded guards against more calls at a helper than the service lets wait, which it answers as too
+// many: a new leader may know one helper and have the backlog of an earlier one. The steps would then pause.
+func TestCallsAtOneHelperAreBounded(t *testing.T) {
+	const jobs = maxCallsPerHelper + 8
+	h := newHarness(t, &wire.ConsentPolicy{CallMs: 7, WorkerMs: 0.1, ValidMs: 1500}, "w000", "w001")
+	h.RecordHelperBeat(&wire.HelperBeat{Name: "e0", Address: "e0:1"}, h.now)
+	h.connectWorkers()
+	for i := range jobs {
+		h.submitNamed(fmt.Sprintf("%016x", i))
+	}
+	h.advance(decideInterval)
+	require.Len(t, h.work.ConsentRequests, maxCallsPerHelper)
+	h.Consented(h.work.ConsentRequests[0], executor.Consent{}, nil, h.now)
+	h.advance(decideInterval)
+	require.Len(t, h.work.ConsentRequests, maxCallsPerHelper+1, "an answered call makes room for another")
+	h.RecordHelperBeat(&wire.HelperBeat{Name: "e1", Address: "e1:1"}, h.now)
+	h.advance(decideInterval)
+	require.Len(t, h.work.ConsentRequests, jobs)
+	for _, request := range h.work.ConsentRequests[maxCallsPerHelper+1:] {
+		require.Equal(t, "e1", request.Helper)
+	}
+}
+
 // TestTicketsOutlastTheWait guards against tickets of a gang that expire just before its last member has capacity.
 func TestTicketsOutlastTheWait(t *testing.T) {
 	h := newConsentHarness(t, 2, 3)
