cell, planner: count the crashes of workers under tasks of a sheet and hold their job

What users would see: a task of a row that crashes each worker that starts it goes from worker to worker without end and takes the other tasks there with it. A task that was lost with its worker went back to the queue uncounted.

Change: when a worker polls as another boot within its lease, the leader names the tasks that the old boot is not known to have lived with for a second. A suspected task starts on a worker where nothing else is starting, so that a further crash can be attributed. After three crashes, two as the only job, the job is held, as after failures on three workers; a success or a change of the row forgets them. 'why' and 'status' name the workers. A worker whose lease ran out counts nothing: it may only have been cut off.

Ruled out: to count a restart against the newest attempt alone: on a single worker all tasks start together, and a sound one would be held.

--- a/controld/internal/cell/cell.go
+++ b/controld/internal/cell/cell.go
@@ -316,7 +316,7 @@
 		if w := c.workers[event.GetWorker()]; w != nil && w.Boot() == body.Lost.GetBoot() {
 			w.MarkLost(now)
 			c.index.updateWorker(w)
-			c.endAllTasks(w, "the worker's lease ran out", now)
+			c.endAllTasks(w, "the worker's lease ran out", nil, now)
 		}
 	case *wire.WorkerEvent_Task:
 		c.applyTaskStatus(event.GetWorker(), body.Task, now)
@@ -334,20 +334,35 @@
 		return
 	}
 	if w.Boot() != seen.GetBoot() {
-		c.endAllTasks(w, "the worker restarted", now)
+		c.endAllTasks(w, "the worker restarted", seen.GetSuspects(), now)
 	}
 	w.Register(seen, now)
 	c.index.updateWorker(w)
 }
 
-func (c *Cell) endAllTasks(w *worker.Worker, detail string, now int64) {
+// endAllTasks ends the tasks of a lost worker. suspects holds the ids of those that may have crashed it.
+func (c *Cell) endAllTasks(w *worker.Worker, detail string, suspects []string, now int64) {
+	suspectedJobs := map[string]bool{}
+	for id := range w.Tasks() {
+		if slices.Contains(suspects, id) {
+			suspectedJobs[c.Task(id).Job().ID()] = true
+		}
+	}
 	ids := make([]string, 0, len(w.Tasks()))
 	for id := range w.Tasks() {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		c.endTask(c.Task(id), w, job.End{Phase: wire.TaskPhase_TASK_PHASE_STOPPED, Detail: detail, Lost: true}, now)
+		end := job.End{Phase: wire.TaskPhase_TASK_PHASE_STOPPED, Detail: detail, Lost: true}
+		switch {
+		case !slices.Contains(suspects, id):
+		case len(suspectedJobs) == 1:
+			end.Suspicion = job.OnlySuspect
+		default:
+			end.Suspicion = job.OneOfSuspects
+		}
+		c.endTask(c.Task(id), w, end, now)
 	}
 }
 
--- a/controld/internal/cell/index.go
+++ b/controld/internal/cell/index.go
@@ -47,6 +47,7 @@
 	byKey            map[string][]*job.Job
 	outdated         map[string]*job.Job
 	failing          map[string]*job.Job
+	suspected        map[string]*job.Job
 	draining         map[string]*worker.Worker
 	suspects         map[string]*worker.Worker
 	quarantined      map[string]*worker.Worker
@@ -66,7 +67,7 @@
 	ix := index{
 		attributes: map[string]workerAttributes{}, positions: map[*job.Job]waitingPosition{},
 		byKey:    map[string][]*job.Job{},
-		outdated: map[string]*job.Job{}, failing: map[string]*job.Job{}, draining: map[string]*worker.Worker{},
+		outdated: map[string]*job.Job{}, failing: map[string]*job.Job{}, suspected: map[string]*job.Job{}, draining: map[string]*worker.Worker{},
 		suspects: map[string]*worker.Worker{}, quarantined: map[string]*worker.Worker{}, teams: map[string]*wire.Team{},
 		active: map[string][]*job.Task{},
 	}
@@ -120,7 +121,9 @@
 		ix.waiting[now.level][now.team] = insertByOrder(ix.waiting[now.level][now.team], j)
 	}
 	setMember(ix.outdated, j.ID(), j, j.HasOutdated())
-	setMember(ix.failing, j.ID(), j, !j.Held() && len(j.FailedWorkers()) >= worker.FailuresToHold)
+	setMember(ix.failing, j.ID(), j,
+		!j.Held() && (len(j.FailedWorkers()) >= worker.FailuresToHold || j.CrashingTask() != nil))
+	setMember(ix.suspected, j.ID(), j, j.HasSuspect())
 }
 
 func (ix *index) removeWaiting(j *job.Job, pos waitingPosition) {
@@ -146,6 +149,7 @@
 	}
 	delete(ix.outdated, j.ID())
 	delete(ix.failing, j.ID())
+	delete(ix.suspected, j.ID())
 }
 
 // jobsByKey returns the jobs with a key, in order of arrival.
@@ -213,9 +217,13 @@
 // Outdated returns the jobs with tasks that were started from an older version of the row, in order of id.
 func (c *Cell) Outdated() []*job.Job { return sortedByName(c.index.outdated) }
 
-// Failing returns the jobs that failed on at least worker.FailuresToHold workers and are not held, in order of id.
+// Failing returns the jobs that failed on at least worker.FailuresToHold workers, or under which workers crashed, and that
+// are not held, in order of id.
 func (c *Cell) Failing() []*job.Job { return sortedByName(c.index.failing) }
 
+// Suspected returns the jobs with tasks under which workers crashed, in order of id.
+func (c *Cell) Suspected() []*job.Job { return sortedByName(c.index.suspected) }
+
 // Draining returns the draining workers that still have tasks, in order of name.
 func (c *Cell) Draining() []*worker.Worker { return sortedByName(c.index.draining) }
 
--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -111,6 +111,8 @@
 	// maxCallsInProgress applies.
 	orders          []order
 	callsInProgress int
+	// reportedAt holds when the leader first heard that an attempt runs. Older entries are dropped.
+	reportedAt map[uint64]time.Duration
 	// checkpointRequests maps a stopping attempt to the time when a checkpoint of it was first requested.
 	checkpointRequests map[uint64]time.Duration
 	// decisionsInLog is set while decisions of the planner are proposed and not applied yet.
--- a/controld/internal/controller/leader.go
+++ b/controld/internal/controller/leader.go
@@ -47,6 +47,7 @@
 	c.planner = planner.New(c.cfg.Planner)
 	c.tally = tally.New(time.Now().UnixMilli())
 	c.checkpointRequests = map[uint64]time.Duration{}
+	c.reportedAt = map[uint64]time.Duration{}
 	c.decisionsInLog, c.workerEvents, c.inFlight = false, nil, map[string]bool{}
 	c.assumedContact = map[string]time.Duration{}
 	for _, m := range c.repl.Membership().GetMembers() {
--- a/controld/internal/controller/reports.go
+++ b/controld/internal/controller/reports.go
@@ -38,6 +38,7 @@
 		c.countRefusal(reason.LeaseEnded)
 		return order
 	}
+	silent, _, _ := c.lessor.WorkerSilence(report.GetWorker(), now)
 	result := c.lessor.Poll(report, now)
 	if result.Refused {
 		logger.PollRefused.Log(c.cfg.Logger, "worker", report.GetWorker(), "poll", report.GetPoll())
@@ -50,7 +51,7 @@
 	if !matchesRegistration(w, report) {
 		c.queueWorkerEvent(&wire.WorkerEvent{Worker: report.GetWorker(), Body: &wire.WorkerEvent_Seen{Seen: &wire.WorkerSeen{
 			Boot: report.GetBoot(), Capacity: report.GetCapacity(), Rack: report.GetRack(),
-			FailureDomain: report.GetFailureDomain(),
+			FailureDomain: report.GetFailureDomain(), Suspects: c.suspects(w, report.GetBoot(), now-silent),
 		}}})
 		return order
 	}
@@ -139,6 +140,7 @@
 	case t.Stopping():
 		return c.stopOrder(t, status, now)
 	case t.State() == wire.TaskState_TASK_STATE_PLACED:
+		c.recordReported(t.Attempt(), now)
 		c.queueWorkerEvent(&wire.WorkerEvent{Worker: w.Name(), Body: &wire.WorkerEvent_Task{Task: &wire.TaskStatus{
 			Task: t.ID(), Attempt: t.Attempt(), Phase: wire.TaskPhase_TASK_PHASE_RUNNING,
 		}}})
--- a/controld/internal/explainer/crash_test.go
+++ b/controld/internal/explainer/crash_test.go
@@ -39,3 +39,30 @@
 	}
 	require.Nil(t, e.Why("j1/0/1"))
 }
+
+// TestStatusNamesCrashingJobs guards against a job of the sheet that is held for its crashes without a problem that says so,
+// or a task without the workers that crashed.
+func TestStatusNamesCrashingJobs(t *testing.T) {
+	e := fixture(t)
+	const workers = 3
+	for i := range workers {
+		worker := fmt.Sprintf("c-%d", i)
+		seen := func(boot string, suspects ...string) {
+			events(t, e.Cell, &wire.WorkerEvent{Worker: worker, Body: &wire.WorkerEvent_Seen{Seen: &wire.WorkerSeen{
+				Boot: boot, Capacity: &wire.Resources{CpuMilli: 8000, MemoryMb: 4096}, Suspects: suspects,
+			}}})
+		}
+		seen("1")
+		apply(t, e.Cell, &wire.Command{Body: &wire.Command_Decisions{Decisions: &wire.Decisions{
+			Placements: []*wire.Placement{{Task: "settle@1/0", Worker: worker}},
+		}}})
+		seen("2", "settle@1/0")
+	}
+	apply(t, e.Cell, &wire.Command{Body: &wire.Command_Decisions{Decisions: &wire.Decisions{
+		JobHolds: []*wire.JobHold{{Key: "settle@1", Held: true, Reason: "workers crashed"}},
+	}}})
+	require.Contains(t, e.Status().Problems,
+		"Job settle@1 is held because workers crashed just after they had started one of its tasks.")
+	require.Contains(t, e.Why("settle@1/0").Tasks[0].Sentence,
+		" Workers crashed just after they had started it: c-0, c-1, c-2.")
+}
--- a/controld/internal/explainer/problems.go
+++ b/controld/internal/explainer/problems.go
@@ -52,10 +52,12 @@
 		"services have no target, their callers are refused: %s.")
 	add(e.unknownTeams(), "Team %s is in the sheet and not in the configuration: its jobs have no quota.",
 		"teams are in the sheet and not in the configuration, their jobs have no quota: %s.")
-	never, held, failed := e.jobProblems()
+	never, held, crashing, failed := e.jobProblems()
 	add(never, "Job %[1]s can never run; flamingoctl why %[1]s says why.", "jobs can never run: %s.")
 	add(held, "Job %s is held because its tasks failed on several workers.",
 		"jobs are held because their tasks failed on several workers: %s.")
+	add(crashing, "Job %s is held because workers crashed just after they had started one of its tasks.",
+		"jobs are held because workers crashed just after they had started their tasks: %s.")
 	add(failed, "Job %s has tasks that failed and will not run again.",
 		"jobs have tasks that failed and will not run again: %s.")
 	if s.Claims*10 >= claim.MaxClaims*9 {
@@ -131,12 +133,16 @@
 
 // jobProblems returns the ids of jobs that can never run, of held jobs, and of jobs with tasks that failed and will not
 // run again.
-func (e *Explainer) jobProblems() (never, held, failed []string) {
+func (e *Explainer) jobProblems() (never, held, crashing, failed []string) {
 	for _, j := range e.jobs() {
 		if w, ok := e.Planner.WaitStatus(j.ID()); ok && j.Waiting() > 0 && neverRuns(w.Reason) {
 			never = append(never, j.ID())
 		}
-		if j.Held() && !j.Finished() {
+		switch {
+		case !j.Held() || j.Finished():
+		case j.CrashingTask() != nil:
+			crashing = append(crashing, j.ID())
+		default:
 			held = append(held, j.ID())
 		}
 		for _, t := range j.Tasks() {
@@ -146,5 +152,5 @@
 			}
 		}
 	}
-	return never, held, failed
+	return never, held, crashing, failed
 }
--- a/controld/internal/explainer/tasks.go
+++ b/controld/internal/explainer/tasks.go
@@ -123,7 +123,7 @@
 
 func (e *Explainer) taskWithSentence(t *job.Task) *Task {
 	task := e.taskLine(t)
-	task.Sentence = e.taskSentence(t) + failureSentence(t)
+	task.Sentence = e.taskSentence(t) + failureSentence(t) + crashedOnSentence(t)
 	return task
 }
 
@@ -216,6 +216,14 @@
 	return text + "."
 }
 
+// crashedOnSentence names the workers that crashed just after they had started a task.
+func crashedOnSentence(t *job.Task) string {
+	if len(t.CrashedOn()) == 0 {
+		return ""
+	}
+	return " Workers crashed just after they had started it: " + strings.Join(t.CrashedOn(), ", ") + "."
+}
+
 func taskStateName(t *job.Task) string {
 	switch t.State() {
 	case wire.TaskState_TASK_STATE_PLACED, wire.TaskState_TASK_STATE_RUNNING:
--- a/controld/internal/job/job.go
+++ b/controld/internal/job/job.go
@@ -63,6 +63,7 @@
 			failures: r.GetFailures(), sinceUnixMs: r.GetSinceUnixMs(), generation: r.GetSpecGeneration(),
 			failedOn: r.GetFailedOn(), detail: r.GetDetail(), placedSize: resource.New(r.GetPlaced()),
 			checkpointFirst: r.GetCheckpointFirst(), preemptions: r.GetPreemptions(), lostWorker: r.GetLost(),
+			crashedOn: r.GetCrashedOn(), soleCrashes: r.GetSoleCrashes(),
 		}
 		j.tasks = append(j.tasks, t)
 		j.addCount(t.state, 1)
@@ -131,6 +132,7 @@
 	j.held, j.holdReason = false, ""
 	for _, t := range j.tasks {
 		t.failedOn = nil
+		t.clearCrashes()
 		if spec.GetKind() == wire.JobKind_JOB_KIND_ALL_AT_ONCE && t.state == wire.TaskState_TASK_STATE_SUCCEEDED {
 			t.setState(wire.TaskState_TASK_STATE_WAITING, nowUnixMs)
 		}
@@ -215,6 +217,8 @@
 	Detail string
 	// Lost is set when the attempt ended because the worker's lease expired or the worker restarted.
 	Lost bool
+	// Suspicion says whether the worker may have crashed because of the task.
+	Suspicion Suspicion
 }
 
 // MarkEnded records the end of the present attempt and decides whether the task waits again.
@@ -223,10 +227,12 @@
 	wasStopping, stopReason := t.stopping, t.stopReason
 	t.worker, t.stopping, t.stopReason, t.detail = "", false, "", end.Detail
 	t.checkpointFirst, t.lostWorker = false, end.Lost
+	t.recordCrash(worker, end.Suspicion)
 	service := j.spec.GetKind() == wire.JobKind_JOB_KIND_SERVICE
 	switch {
 	case end.Phase == wire.TaskPhase_TASK_PHASE_SUCCEEDED && !service:
 		t.failures = 0
+		t.clearCrashes()
 		t.setState(wire.TaskState_TASK_STATE_SUCCEEDED, nowUnixMs)
 		return
 	case end.Phase == wire.TaskPhase_TASK_PHASE_FAILED && !wasStopping:
--- a/controld/internal/job/task.go
+++ b/controld/internal/job/task.go
@@ -30,6 +30,10 @@
 	checkpointFirst bool
 	preemptions     uint32
 	lostWorker      bool
+	// crashedOn holds the workers that crashed soon after they had started the task, and soleCrashes counts those that no
+	// other job may have crashed.
+	crashedOn   []string
+	soleCrashes uint32
 }
 
 // Job returns the task's job.
@@ -125,5 +129,6 @@
 		StopReason: t.stopReason, Failures: t.failures, SinceUnixMs: t.sinceUnixMs, SpecGeneration: t.generation,
 		FailedOn: t.failedOn, Detail: t.detail, Placed: t.placedSize.Message(), CheckpointFirst: t.checkpointFirst,
 		Preemptions: t.preemptions, Lost: t.lostWorker,
+		CrashedOn: t.crashedOn, SoleCrashes: t.soleCrashes,
 	}
 }
--- a/controld/internal/planner/place.go
+++ b/controld/internal/planner/place.go
@@ -124,6 +124,9 @@
 	case s.refusedByReservation:
 		return -1, reason.BehindReservation, r.planner.reservation.jobID
 	}
+	if s.refusedBySuspect {
+		return -1, reason.WaitsForIsolation, ""
+	}
 	if !s.refusedByProbation {
 		r.recordUnplaceable(cand.need)
 	}
@@ -149,8 +152,8 @@
 	score          float64
 
 	// refusedBy... are set if the task fits on a worker but may not use it, because of the spread, of capacity reserved
-	// for urgent tasks or for an all-at-once job, or of a probation.
-	refusedBySpread, refusedByUrgent, refusedByReservation, refusedByProbation bool
+	// for urgent tasks or for an all-at-once job, of a probation, or of a task under which workers crashed.
+	refusedBySpread, refusedByUrgent, refusedByReservation, refusedByProbation, refusedBySuspect bool
 }
 
 // consider updates the best worker if the task may run on the i-th worker.
@@ -160,6 +163,10 @@
 		s.refusedByProbation = true
 		return
 	}
+	if !s.round.startsApart(s.task, view) {
+		s.refusedBySuspect = true
+		return
+	}
 	available := view.free.Sub(view.reservedUrgent)
 	if !need.FitsIn(available) {
 		s.refusedByUrgent = true
--- a/controld/internal/planner/planner.go
+++ b/controld/internal/planner/planner.go
@@ -84,6 +84,7 @@
 		return r.decisions
 	}
 	p.roundNumber++
+	r.markSuspects()
 	r.stopOutdated()
 	r.stopOverMemory()
 	r.updateReservation()
--- a/controld/internal/planner/quarantine.go
+++ b/controld/internal/planner/quarantine.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"flamingodrift.example/controld/internal/job"
 	"flamingodrift.example/controld/internal/worker"
 	"flamingodrift.example/core/wire"
 )
@@ -74,7 +75,7 @@
 	return min(d, maxHold)
 }
 
-// holdJobs holds jobs that failed on worker.FailuresToHold different workers. Workers that this round holds do not
+// holdJobs holds jobs that failed on worker.FailuresToHold different workers, and jobs with a task that crashes workers. Workers that this round holds do not
 // count, because the failures are attributed to them.
 func (r *round) holdJobs() {
 	var heldWorkers []string
@@ -87,9 +88,34 @@
 		failedOn := slices.DeleteFunc(j.FailedWorkers(), func(w string) bool { return slices.Contains(heldWorkers, w) })
 		if len(failedOn) >= worker.FailuresToHold {
 			sentence := fmt.Sprintf("its tasks failed on %d workers: %s", len(failedOn), strings.Join(failedOn, ", "))
-			r.decisions.JobHolds = append(r.decisions.JobHolds, &wire.JobHold{
-				Key: j.ID(), Held: true, Reason: sentence,
-			})
+			r.holdJob(j, sentence)
+		} else if t := j.CrashingTask(); t != nil {
+			r.holdJob(j, fmt.Sprintf("workers crashed just after they had started its task %d: %s", t.Index(),
+				strings.Join(t.CrashedOn(), ", ")))
 		}
 	}
 }
+
+func (r *round) holdJob(j *job.Job, sentence string) {
+	r.decisions.JobHolds = append(r.decisions.JobHolds, &wire.JobHold{Key: j.ID(), Held: true, Reason: sentence})
+}
+
+// markSuspects marks the workers on which a suspected task is starting. Another task that starts beside it would be lost
+// with it, and could then be suspected as well.
+func (r *round) markSuspects() {
+	for _, j := range r.cell.Suspected() {
+		for _, t := range j.Tasks() {
+			if i, usable := r.workers.indexByName[t.Worker()]; usable && t.Starting() && len(t.CrashedOn()) > 0 {
+				r.workers.views[i].hasSuspect = true
+			}
+		}
+	}
+}
+
+// startsApart reports whether a worker keeps a suspected task apart from other tasks that start.
+func (r *round) startsApart(t *job.Task, view *workerView) bool {
+	if len(t.CrashedOn()) == 0 {
+		return !view.hasSuspect
+	}
+	return !view.placedOn && !slices.ContainsFunc(r.cell.TasksOn(view.worker.Name()), (*job.Task).Starting)
+}
--- a/controld/internal/planner/round.go
+++ b/controld/internal/planner/round.go
@@ -102,6 +102,7 @@
 	r.decisions.Placements = append(r.decisions.Placements, placement)
 	r.workers.allocate(index, cand.need)
 	r.workers.views[index].placedOn = true
+	r.workers.views[index].hasSuspect = r.workers.views[index].hasSuspect || len(t.CrashedOn()) > 0
 	r.addUsage(cand.team, cand.need)
 	if t.Lost() {
 		r.planner.recoveryTokens--
--- a/controld/internal/planner/workers.go
+++ b/controld/internal/planner/workers.go
@@ -26,6 +26,8 @@
 	domain int
 	// placedOn is set if the round placed a task on the worker.
 	placedOn bool
+	// hasSuspect is set while a task under which workers crashed is starting on the worker.
+	hasSuspect bool
 }
 
 // workerSet is the planner's copy of the usable workers. It is rebuilt only if the set of workers changes.
@@ -102,7 +104,7 @@
 		view := &ws.views[i]
 		view.free = view.worker.Free()
 		view.reservedUrgent, view.reservedGang, view.releasing = resource.Vector{}, resource.Vector{}, resource.Vector{}
-		view.potentialVictims, view.placedOn = nil, false
+		view.potentialVictims, view.placedOn, view.hasSuspect = nil, false, false
 		ws.free = append(ws.free, view.free)
 		ws.maxFree = ws.maxFree.Max(view.free)
 	}
