batch: give a task up after two crashes that nothing else can have caused

What users saw: each task that crashes its workers takes three of them.

Change: a crash is conclusive if it is confirmed, the task was the only suspect, and its run was among the newest. All else stays at three or five.

Evidence: TestGivingUp, case 'two conclusive crashes', failed before.

--- a/controld/internal/batch/crash.go
+++ b/controld/internal/batch/crash.go
@@ -6,9 +6,11 @@
 	"flamingodrift.example/core/wire"
 )
 
-// A task, or gang, is given up after giveUpCrashes confirmed crashes, if it was the only suspect in giveUpAsOnlySuspect
-// of them. Some workers may never come back, so that their crash is not confirmed; then maxCrashes bounds the starts.
+// A task, or gang, is given up after conclusiveCrashes conclusive crashes, or after giveUpCrashes confirmed ones if it was
+// the only suspect in giveUpAsOnlySuspect of them. Some workers may never come back, so that their crash is not confirmed;
+// then maxCrashes bounds the starts.
 const (
+	conclusiveCrashes   = 2
 	giveUpCrashes       = 3
 	giveUpAsOnlySuspect = 2
 	maxCrashes          = 5
@@ -40,6 +42,9 @@
 // Confirmed reports whether the worker is known to have ended. Otherwise it may only be cut off.
 func (c *Crash) Confirmed() bool { return c.confirmed }
 
+// conclusive reports whether a worker crashed as soon as it had started the run, and nothing else may have been the cause.
+func (c *Crash) conclusive() bool { return c.confirmed && c.onlySuspect && c.newest }
+
 func newCrash(message *wire.WorkerCrash) *Crash {
 	return &Crash{
 		worker: message.GetWorker(), startedUnixMs: message.GetBornUnixMs(), address: message.GetAddress(),
@@ -134,7 +139,7 @@
 // mustGiveUp reports whether enough workers have crashed under a task, or its gang.
 func (t *Task) mustGiveUp() bool {
 	crashes := t.Crashes()
-	confirmed, asOnlySuspect := 0, 0
+	confirmed, asOnlySuspect, conclusive := 0, 0, 0
 	for _, c := range crashes {
 		if !c.confirmed {
 			continue
@@ -143,8 +148,12 @@
 		if c.onlySuspect {
 			asOnlySuspect++
 		}
+		if c.conclusive() {
+			conclusive++
+		}
 	}
-	return confirmed >= giveUpCrashes && asOnlySuspect >= giveUpAsOnlySuspect || len(crashes) >= maxCrashes
+	return conclusive >= conclusiveCrashes ||
+		confirmed >= giveUpCrashes && asOnlySuspect >= giveUpAsOnlySuspect || len(crashes) >= maxCrashes
 }
 
 // recordCrash records the crash of a worker against a task and fails the job if the task must be given up.
--- a/controld/internal/batch/crash_test.go
+++ b/controld/internal/batch/crash_test.go
@@ -13,6 +13,7 @@
 type crashOf struct {
 	index       uint32
 	onlySuspect bool
+	newest      bool
 	// returns is set when the worker's successor registers at its address.
 	returns bool
 }
@@ -29,8 +30,10 @@
 func TestGivingUp(t *testing.T) {
 	single := &wire.JobStep{Count: 2, CpuMillis: 1000}
 	gang := &wire.JobStep{Count: 2, CpuMillis: 1000, Gang: true}
-	suspect, sole := crashOf{0, false, true}, crashOf{0, true, true}
-	other, gone := crashOf{1, true, true}, crashOf{0, true, false}
+	suspect, sole := crashOf{returns: true}, crashOf{onlySuspect: true, returns: true}
+	other, gone := crashOf{index: 1, onlySuspect: true, returns: true}, crashOf{onlySuspect: true}
+	newest, atOnce := crashOf{newest: true, returns: true}, crashOf{onlySuspect: true, newest: true, returns: true}
+	goneAtOnce := crashOf{onlySuspect: true, newest: true}
 	tests := []struct {
 		name    string
 		step    *wire.JobStep
@@ -38,6 +41,10 @@
 		givenUp bool
 	}{
 		{"two crashes", single, []crashOf{sole, sole}, false},
+		{"two conclusive crashes", single, []crashOf{atOnce, atOnce}, true},
+		{"two conclusive crashes, not confirmed", single, []crashOf{goneAtOnce, goneAtOnce}, false},
+		{"beside a crashing task, then alone", single, []crashOf{newest, atOnce}, false},
+		{"among others that began with it", single, []crashOf{newest, newest}, false},
 		{"three crashes", single, []crashOf{sole, sole, sole}, true},
 		{"the first among others", single, []crashOf{suspect, sole, sole}, true},
 		{"beside others", single, []crashOf{suspect, suspect, suspect, sole}, false},
@@ -60,6 +67,7 @@
 				lost := ended(0, crash.index, run, cutShort)
 				lost.Crash = &wire.WorkerCrash{
 					Worker: worker, BornUnixMs: int64(10 + 2*i), Address: address, Run: run, OnlySuspect: crash.onlySuspect,
+					Newest: crash.newest,
 				}
 				apply(b, end(lost), end(ended(0, 1-crash.index, run, cutShort)))
 				// The counts survive a snapshot, and with it another leader.
