scheduler: only the latest starts on a worker are suspects of its crash

What users saw: beside many crashing tasks, sound tasks waited for seconds to start apart from others, and most crashes were the fault of nobody for certain. Cause: all runs that a worker had begun within 250 ms of its crash were suspects, 60 ms being enough for the one that crashed it, which begins last: between it and the crash nothing else can begin.

Change: of these runs, those that began more than newestWindow before the latest one, by the worker's own clock, are no suspects. Runs of which it is not known when they began still are.

Evidence: TestOnlyLatestStartsAreSuspects failed before. A task that crashes its worker later than 60 ms after its start is missed when another began meanwhile; once it is a suspect nothing begins beside it.

--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -18,7 +18,8 @@
 	// crashed before.
 	lateCrashWindow = 3 * time.Second
 	// newestWindow is the same for the runs that most likely caused the crash. If they are of more than maxNewestJobs
-	// jobs, none of them is more likely than the other new runs.
+	// jobs, none of them is more likely than the other new runs. Runs that began longer than newestWindow before the latest
+	// one are not suspected.
 	newestWindow  = 60 * time.Millisecond
 	maxNewestJobs = 2
 	// movedWorkerSilence is how long a worker must not have reported before another process at its address shows that it
@@ -48,7 +49,7 @@
 	if s.incarnation.Draining() {
 		return nil
 	}
-	runs := s.runsYoungerThan(startWindow)
+	runs := s.latestStarts(s.runsYoungerThan(startWindow))
 	for t, r := range s.runs {
 		if !r.endQueued && s.survived(r) < lateCrashWindow && len(t.Crashes()) > 1 {
 			runs[t] = r
@@ -92,6 +93,22 @@
 	return runs
 }
 
+// latestStarts returns those of the given runs that began within newestWindow of the latest of them, and those of which it
+// is not known when they began.
+func (s *session) latestStarts(runs map[*batch.Task]*run) map[*batch.Task]*run {
+	var latest time.Duration
+	for _, r := range runs {
+		latest = max(latest, r.confirmedClock)
+	}
+	starts := map[*batch.Task]*run{}
+	for t, r := range runs {
+		if !r.confirmed || r.confirmedClock > latest-newestWindow {
+			starts[t] = r
+		}
+	}
+	return starts
+}
+
 // endCrashedRuns queues the ends of all runs of a worker that has crashed, and its removal.
 func (sc *Scheduler) endCrashedRuns(s *session, now time.Duration) {
 	crashes := sc.suspects(s, true)
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -94,6 +94,47 @@
 	}
 }
 
+// TestOnlyLatestStartsAreSuspects guards against suspecting each task that a worker has begun within a quarter of a second of
+// its crash. With many crashing tasks, most suspects were sound, and all waited to start apart.
+func TestOnlyLatestStartsAreSuspects(t *testing.T) {
+	tests := []struct {
+		name     string
+		interval time.Duration
+		earlier  bool
+	}{
+		{"one after the other", newestWindow + 10*time.Millisecond, false},
+		{"together", newestWindow / 2, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil, "w1")
+			h.connectWorkers()
+			earlier := h.submitNamed(testJobID)
+			h.advance(time.Millisecond)
+			h.Started(h.takeStart(), h.answer(executor.Done), h.now)
+			h.advance(test.interval)
+			latest := h.submitNamed("00000000000000b1")
+			h.advance(time.Millisecond)
+			h.Started(h.takeStart(), h.answer(executor.Done), h.now)
+			h.advance(10 * time.Millisecond)
+			for _, o := range h.work.Renewals {
+				h.Renewed(o, executor.Report{}, executor.Answer{}, h.now)
+			}
+			ends := h.RecordReport(workerLife("w1", 2), h.now).GetEnds()
+			require.Len(t, ends, 2)
+			for _, end := range ends {
+				if end.GetJob() == latest.Step().Job().ID() {
+					require.True(t, end.GetCrash().GetNewest())
+					require.Equal(t, test.earlier, !end.GetCrash().GetOnlySuspect())
+					continue
+				}
+				require.Equal(t, earlier.Step().Job().ID(), end.GetJob())
+				require.Equal(t, test.earlier, end.GetCrash() != nil)
+			}
+		})
+	}
+}
+
 // TestOtherWorkerAtAddress guards the runs of a worker at whose address another one answers. They have ended, as the
 // worker has crashed, unless it still reports: then it has moved, and its runs must not be started elsewhere.
 func TestOtherWorkerAtAddress(t *testing.T) {
