scheduler: suspects leave half of the workers to other work while capacity is free

Cause: while most of the capacity is free, starts apart had no limit. After a storm of crashes most of it is free because work was lost, and hundreds of suspects took every worker for 400 ms each, round after round, so that nothing else started.

Change: with other tasks waiting, starts apart keep to half of the workers then. TestCrashingTasksAreGivenUp, new case 'many short jobs for long', failed before ('4.1s' is not less than '3s'); the other new case has workers that crash for other reasons too. Ruled out: to consider all suspects in a round instead of 80 while capacity is free: other jobs then waited 6.9 s.

--- a/controld/internal/scheduler/crash_test.go
+++ b/controld/internal/scheduler/crash_test.go
@@ -19,24 +19,30 @@
 // TestCrashingTasksAreGivenUp guards against starting a task without end that crashes each worker that starts it, also
 // when another leader takes over meanwhile, and against giving up sound jobs whose tasks ran beside it.
 func TestCrashingTasksAreGivenUp(t *testing.T) {
+	// Workers that crash for other reasons must not make sound tasks be given up beside those that crash theirs.
+	otherCrashes := restarts{from: 5 * time.Second, until: 34 * time.Second, perSecond: 2}
 	tests := []struct {
 		name     string
 		kind     string
 		share    float64
+		until    time.Duration
 		handover time.Duration
+		restarts restarts
 	}{
-		{"short jobs", "short", 0.1, 0},
-		{"short jobs and another leader", "short", 0.1, 12 * time.Second},
-		{"gangs", "gangs", 0.5, 0},
-		{"gangs and another leader", "gangs", 0.5, 12 * time.Second},
-		{"batch", "batch", 0.3, 12 * time.Second},
+		{"short jobs", "short", 0.1, 15 * time.Second, 0, restarts{}},
+		{"short jobs and another leader", "short", 0.1, 15 * time.Second, 12 * time.Second, restarts{}},
+		{"many short jobs for long", "short", 0.2, 19 * time.Second, 0, restarts{}},
+		{"short jobs and other crashes", "short", 0.05, 15 * time.Second, 0, otherCrashes},
+		{"gangs", "gangs", 0.5, 15 * time.Second, 0, restarts{}},
+		{"gangs and another leader", "gangs", 0.5, 15 * time.Second, 12 * time.Second, restarts{}},
+		{"batch", "batch", 0.3, 15 * time.Second, 12 * time.Second, restarts{}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			l := standardLoad()
-			l.bursts, l.handover = nil, test.handover
-			l.crashes = crashes{kind: test.kind, from: 5 * time.Second, until: 15 * time.Second, share: test.share}
+			l.bursts, l.handover, l.restarts = nil, test.handover, test.restarts
+			l.crashes = crashes{kind: test.kind, from: 5 * time.Second, until: test.until, share: test.share}
 			for _, r := range runReplays(l, replaySeeds) {
 				crashing, failed := 0, 0
 				for _, j := range r.jobs {
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -73,12 +73,14 @@
 	sc.updateProbePool(isolated, sessions, r)
 	apartLeft, callsLeft := sc.apartStartsLeft(r.now), sc.isolatedCallsLeft(isolated)
 	aloneLeft := max(minAlonePerRound, len(sc.probePool))
+	// Without a limit, many suspects would keep all workers from the tasks that are not suspected.
+	othersWait := len(rest) > 0
 	for _, task := range isolated {
-		left := &apartLeft
+		left, isLimited := &apartLeft, !sc.mostCapacityFree || othersWait
 		if task.level == runsAlone {
-			left = &aloneLeft
+			left, isLimited = &aloneLeft, !sc.mostCapacityFree
 		}
-		if *left <= 0 && !sc.mostCapacityFree || sc.isDeferred(task, r.now) {
+		if isLimited && *left <= 0 || sc.isDeferred(task, r.now) {
 			continue
 		}
 		if sc.placeIsolatedTask(r, task, sessions) {
--- a/controld/internal/scheduler/probe.go
+++ b/controld/internal/scheduler/probe.go
@@ -16,6 +16,8 @@
 	// tasks that run alone crash their worker, which then is of no use for some seconds.
 	maxPoolShare  = 0.05
 	maxApartShare = 0.25
+	// maxApartShareIdle is maxApartShare while most of the capacity is free.
+	maxApartShareIdle = 0.5
 )
 
 // probeSessions returns the workers on which an isolated task may start, those with the least work to lose first.
@@ -58,7 +60,11 @@
 			probing++
 		}
 	}
-	return max(1, int(maxApartShare*float64(workers))) - probing
+	share := maxApartShare
+	if sc.mostCapacityFree {
+		share = maxApartShareIdle
+	}
+	return max(1, int(share*float64(workers))) - probing
 }
 
 // updateProbePool chooses the workers that get no other new runs, so that they become idle, while tasks wait to run
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -85,14 +85,14 @@
 type replay struct {
 	*Scheduler
 	load load
-	// rand draws the arriving jobs, and grants what the consent service allows. They are apart, so that the same jobs
-	// arrive however the Scheduler decides.
-	rand, grants *rand.Rand
-	now          time.Duration
-	batch        *batch.Batch
-	workers      map[string]*replayWorker
-	workerNames  []string
-	jobs         map[string]*replayJob
+	// rand draws the arriving jobs, grants what the consent service allows, and restarts which workers crash for other
+	// reasons than their tasks. They are apart, so that the same jobs arrive however the Scheduler decides.
+	rand, grants, restarts *rand.Rand
+	now                    time.Duration
+	batch                  *batch.Batch
+	workers                map[string]*replayWorker
+	workerNames            []string
+	jobs                   map[string]*replayJob
 	// idleWaits is how long each job has waited so far while suitable workers were idle, and longestIdleWait the longest
 	// of these waits.
 	idleWaits       map[string]time.Duration
@@ -112,7 +112,8 @@
 
 func newReplay(l load, seed uint64) *replay {
 	r := &replay{
-		load: l, rand: rand.New(rand.NewPCG(seed, 2)), grants: rand.New(rand.NewPCG(seed, 3)), now: time.Minute, batch: batch.New(),
+		load: l, rand: rand.New(rand.NewPCG(seed, 2)), grants: rand.New(rand.NewPCG(seed, 3)),
+		restarts: rand.New(rand.NewPCG(seed, 4)), now: time.Minute, batch: batch.New(),
 		workers: map[string]*replayWorker{}, jobs: map[string]*replayJob{},
 		scheduled: map[time.Duration][]func(){}, helperFreeAt: map[string]time.Duration{},
 		results: make([]kindResult, len(l.kinds)),
@@ -180,6 +181,7 @@
 			r.submitArrivals(elapsed)
 		}
 		r.applyLosses(elapsed)
+		r.applyRestarts(elapsed)
 		for _, f := range r.scheduled[r.now] {
 			f()
 		}
@@ -579,6 +581,14 @@
 	}
 }
 
+// applyRestarts lets workers crash for other reasons than their tasks.
+func (r *replay) applyRestarts(elapsed time.Duration) {
+	if c := r.load.restarts; elapsed >= c.from && elapsed < c.until &&
+		r.restarts.Float64() < c.perSecond*replayTick.Seconds() {
+		r.crash(r.workers[r.workerNames[r.restarts.IntN(len(r.workerNames))]], 0)
+	}
+}
+
 func (r *replay) submitArrivals(elapsed time.Duration) {
 	for i, k := range r.load.kinds {
 		if c := r.load.crashes; c.kind == k.name && elapsed >= c.from && elapsed < c.until &&
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -67,6 +67,12 @@
 	share       float64
 }
 
+// restarts makes perSecond workers a second crash, each whatever it runs.
+type restarts struct {
+	from, until time.Duration
+	perSecond   float64
+}
+
 // load describes the workers and the jobs of a replay.
 type load struct {
 	workers int
@@ -75,6 +81,8 @@
 	bursts  []burst
 	losses  []loss
 	crashes crashes
+	// restarts makes workers crash for other reasons than their tasks.
+	restarts restarts
 	// handover is when another leader takes over; 0 means never.
 	handover time.Duration
 	length   time.Duration
