scheduler: count the usable workers once a round; placements and ends of crashed runs in one place

A round counts them once, newPlacement and crashResult serve all callers. Behaviour stays: the tests of the package pass unchanged. Ends that are committed with a worker's registration now have the reason worker_crashed, which these ends do not store.

--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -114,9 +114,7 @@
 	crashes := sc.suspects(s, true)
 	for t, r := range s.runs {
 		if !r.endQueued {
-			sc.endRun(s, t, r, runResult{
-				outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, checkpoint: r.checkpoint, reason: "worker_crashed", crash: crashes[t],
-			}, now)
+			sc.endRun(s, t, r, crashResult(r, crashes[t]), now)
 		}
 	}
 	if !s.removalQueued {
@@ -135,14 +133,20 @@
 	crashes := sc.suspects(s, true)
 	for t, r := range s.runs {
 		if !r.endQueued {
-			ends = append(ends, newRunEnd(runID(t, r.number), runResult{
-				outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, checkpoint: r.checkpoint, crash: crashes[t],
-			}))
+			ends = append(ends, newRunEnd(runID(t, r.number), crashResult(r, crashes[t])))
 		}
 	}
 	return ends
 }
 
+// crashResult returns the result of a run that was lost in a crash of its worker; crash is nil if the run cannot have caused
+// it.
+func crashResult(r *run, crash *wire.WorkerCrash) runResult {
+	result := cutShort(r.checkpoint, "worker_crashed")
+	result.crash = crash
+	return result
+}
+
 // logCrash logs that an incarnation of a worker has ended without notice, with its runs that are younger than
 // startWindow.
 func (sc *Scheduler) logCrash(s *session, now time.Duration) {
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -56,8 +56,10 @@
 
 // round is the input of one scheduling round, with the tables that translate its result.
 type round struct {
-	now      time.Duration
-	number   uint64
+	now    time.Duration
+	number uint64
+	// usable is the number of usable workers, those included that are kept out of the round.
+	usable   int
 	sessions []*session
 	workers  []allocator.Worker
 	steps    []*batch.Step
@@ -94,16 +96,21 @@
 	placements := make([]*wire.RunPlacement, 0, len(r.placements)+len(plan.Placements))
 	placements = append(placements, r.placements...)
 	for _, p := range plan.Placements {
-		step, incarnation := r.steps[p.Demand], r.sessions[p.Worker].incarnation
-		task := step.Tasks()[p.Task]
-		placements = append(placements, &wire.RunPlacement{
-			Job: step.Job().ID(), Step: uint32(step.Number()), Index: uint32(p.Task), Run: uint32(step.NextRun(task)),
-			Worker: incarnation.Worker(), BornUnixMs: incarnation.StartedUnixMs(),
-		})
+		placements = append(placements,
+			newPlacement(r.steps[p.Demand].Tasks()[p.Task], r.sessions[p.Worker].incarnation))
 	}
 	return placements
 }
 
+// newPlacement returns the placement of the next run of a task on a worker.
+func newPlacement(t *batch.Task, incarnation *batch.Incarnation) *wire.RunPlacement {
+	step := t.Step()
+	return &wire.RunPlacement{
+		Job: step.Job().ID(), Step: uint32(step.Number()), Index: uint32(t.Index()), Run: uint32(step.NextRun(t)),
+		Worker: incarnation.Worker(), BornUnixMs: incarnation.StartedUnixMs(),
+	}
+}
+
 // runsOf returns the runs on a worker of the round.
 func (sc *Scheduler) runsOf(r *round, worker int) []allocator.Run {
 	s := r.sessions[worker]
@@ -164,11 +171,12 @@
 // includes reports whether the round may place tasks on a worker.
 func (r *round) includes(s *session) bool { return s.round == r.number }
 
-// updateMostCapacityFree sets mostCapacityFree from the usable workers.
-func (sc *Scheduler) updateMostCapacityFree(now time.Duration) {
+// countCapacity counts the usable workers and sets mostCapacityFree from their capacity.
+func (sc *Scheduler) countCapacity(r *round) {
 	var capacity, free int64
 	for _, s := range sc.sessions {
-		if sc.usable(s, now) {
+		if sc.usable(s, r.now) {
+			r.usable++
 			capacity += s.incarnation.Capacity().CPU()
 			free += s.incarnation.Free().CPU()
 		}
@@ -222,7 +230,7 @@
 	if len(waiting) == 0 {
 		return
 	}
-	sc.updateMostCapacityFree(r.now)
+	sc.countCapacity(r)
 	waiting = sc.placeIsolated(r, waiting)
 	sc.addWorkers(r)
 	for _, w := range waiting[:min(len(waiting), maxDemandsPerRound)] {
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"flamingodrift.example/controld/internal/batch"
-	"flamingodrift.example/core/wire"
 )
 
 // isolation says beside what a task may start after workers have crashed under it. It keeps the next crash from taking
@@ -71,7 +70,7 @@
 	isolated = isolated[:min(len(isolated), maxDemandsPerRound)]
 	sessions := sc.probeSessions(r.now)
 	sc.updateProbePool(isolated, sessions, r)
-	apartLeft, callsLeft := sc.apartStartsLeft(r.now), sc.isolatedCallsLeft(isolated)
+	apartLeft, callsLeft := sc.apartStartsLeft(r), sc.isolatedCallsLeft(isolated)
 	aloneLeft := max(minAlonePerRound, len(sc.probePool))
 	// Without a limit, many suspects would keep all workers from the tasks that are not suspected.
 	othersWait := len(rest) > 0
@@ -199,10 +198,7 @@
 
 func (sc *Scheduler) placeOn(r *round, t *batch.Task, s *session) {
 	s.takenInRound = r.number
-	r.placements = append(r.placements, &wire.RunPlacement{
-		Job: t.Step().Job().ID(), Step: uint32(t.Step().Number()), Index: uint32(t.Index()),
-		Run: uint32(t.Step().NextRun(t)), Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
-	})
+	r.placements = append(r.placements, newPlacement(t, s.incarnation))
 }
 
 // isolatedCallDivisor bounds the open consent calls for isolated tasks: one in isolatedCallDivisor helpers, and twice as
--- a/controld/internal/scheduler/probe.go
+++ b/controld/internal/scheduler/probe.go
@@ -50,21 +50,17 @@
 func used(s *session) int64 { return s.incarnation.Capacity().Sub(s.incarnation.Free()).CPU() }
 
 // apartStartsLeft returns on how many more workers tasks may start apart now.
-func (sc *Scheduler) apartStartsLeft(now time.Duration) int {
-	workers, probing := 0, 0
+func (sc *Scheduler) apartStartsLeft(r *round) int {
+	share, probing := maxApartShare, 0
+	if sc.mostCapacityFree {
+		share = maxApartShareIdle
+	}
 	for _, s := range sc.sessions {
-		if sc.usable(s, now) {
-			workers++
-		}
-		if now < s.probeUntil {
+		if r.now < s.probeUntil {
 			probing++
 		}
 	}
-	share := maxApartShare
-	if sc.mostCapacityFree {
-		share = maxApartShareIdle
-	}
-	return max(1, int(share*float64(workers))) - probing
+	return max(1, int(share*float64(r.usable))) - probing
 }
 
 // updateProbePool chooses the workers that get no other new runs, so that they become idle, while tasks wait to run
@@ -87,13 +83,7 @@
 			wanted++
 		}
 	}
-	usable := 0
-	for _, s := range sc.sessions {
-		if sc.usable(s, r.now) {
-			usable++
-		}
-	}
-	wanted = min(wanted, max(1, int(maxPoolShare*float64(usable))))
+	wanted = min(wanted, max(1, int(maxPoolShare*float64(r.usable))))
 	sc.probePool = slices.DeleteFunc(sc.probePool, func(s *session) bool {
 		return sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now)
 	})
