--- a/controld/internal/scheduler/crash_test.go
+++ b/controld/internal/scheduler/crash_test.go
@@ -68,3 +68,14 @@
 		})
 	}
 }
+
+// TestStormOfCrashingTasks guards against jobs that wait beside idle workers when more tasks crash their workers than the
+// workers' restarts leave time for.
+func TestStormOfCrashingTasks(t *testing.T) {
+	l := standardLoad()
+	l.bursts = nil
+	l.crashes = crashes{kind: "short", from: 5 * time.Second, until: 19 * time.Second, share: 0.4}
+	for _, r := range runReplays(l, replaySeeds) {
+		require.Less(t, r.longestIdleWait, maxIdleWait)
+	}
+}
