--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -283,3 +284,37 @@
 	h.advance(decideInterval)
 	require.NotNil(t, suspect.Incarnation())
 }
+
+// TestSuspectsLeaveWorkersToOthers guards against suspects that keep all workers from other tasks while most of the capacity
+// is free: after a storm of crashes there are hundreds, and nothing else started for seconds.
+func TestSuspectsLeaveWorkersToOthers(t *testing.T) {
+	const suspects, left = 8, 8
+	var names []string
+	for i := range suspects + left {
+		names = append(names, fmt.Sprintf("w%02d", i))
+	}
+	h := newHarness(t, nil, names...)
+	h.connectWorkers()
+	var tasks []*batch.Task
+	for i := range suspects {
+		id := fmt.Sprintf("%016x", i)
+		h.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{Id: id, Queue: "q", Steps: []*wire.JobStep{oneTaskStep()}}})
+		h.commit(&wire.QueueCommand{Placements: []*wire.RunPlacement{{Job: id, Run: 1, Worker: names[i], BornUnixMs: 1}}})
+		tasks = append(tasks, h.batch.Task(id, 0, 0))
+	}
+	for _, task := range tasks {
+		h.loseWorker(task, &wire.WorkerCrash{Confirmed: true})
+	}
+	step := oneTaskStep()
+	step.Count, step.CpuMillis = left, 8000
+	h.submit(step)
+	h.advance(decideInterval)
+	started, others := 0, h.batch.Job(testJobID).Steps()[0].ActiveRuns()
+	for _, task := range tasks {
+		if task.Incarnation() != nil {
+			started++
+		}
+	}
+	require.Equal(t, int(maxApartShareIdle*left), started)
+	require.Equal(t, left-started, others)
+}
