--- a/controld/internal/batch/crash_test.go
+++ b/controld/internal/batch/crash_test.go
@@ -124,7 +124,8 @@
 			b = Restore(b.State())
 			require.Len(t, b.Task(jobID, 0, 0).Crashes(), test.crashes)
 			require.Equal(t, test.crashes > 0, b.Task(jobID, 0, 0).Step().Suspected())
-			require.Equal(t, test.reports == nil || test.reports[0] == overtaken, b.HasUnconfirmedCrash(b.Incarnation("c")))
+			require.Equal(t, test.reports == nil || test.reports[0] == overtaken,
+				b.HasUnconfirmedCrash(b.Incarnation("c")))
 		})
 	}
 }
--- a/controld/internal/cell/index.go
+++ b/controld/internal/cell/index.go
@@ -67,7 +67,8 @@
 	ix := index{
 		attributes: map[string]workerAttributes{}, positions: map[*job.Job]waitingPosition{},
 		byKey:    map[string][]*job.Job{},
-		outdated: map[string]*job.Job{}, failing: map[string]*job.Job{}, suspected: map[string]*job.Job{}, draining: map[string]*worker.Worker{},
+		outdated: map[string]*job.Job{}, failing: map[string]*job.Job{}, suspected: map[string]*job.Job{},
+		draining: map[string]*worker.Worker{},
 		suspects: map[string]*worker.Worker{}, quarantined: map[string]*worker.Worker{}, teams: map[string]*wire.Team{},
 		active: map[string][]*job.Task{},
 	}
--- a/controld/internal/planner/quarantine.go
+++ b/controld/internal/planner/quarantine.go
@@ -75,8 +75,8 @@
 	return min(d, maxHold)
 }
 
-// holdJobs holds jobs that failed on worker.FailuresToHold different workers, and jobs with a task that crashes workers. Workers that this round holds do not
-// count, because the failures are attributed to them.
+// holdJobs holds jobs that failed on worker.FailuresToHold different workers, and jobs with a task that crashes workers.
+// Workers that this round holds do not count, because the failures are attributed to them.
 func (r *round) holdJobs() {
 	var heldWorkers []string
 	for _, hold := range r.decisions.WorkerHolds {
--- a/controld/internal/scheduler/crash_test.go
+++ b/controld/internal/scheduler/crash_test.go
@@ -72,8 +72,8 @@
 		t.Logf("%s: value share %.3f", k.name, r.results[i].valueShare())
 	}
 	require.Less(t, r.longestIdleWait, maxIdleWait)
-	t.Logf("%d of %d crashing jobs failed, %d workers crashed and lost %v runs; longest wait while workers were idle: %v, of crashing jobs %v",
-		failed, crashing, r.crashes, r.lostRuns, r.longestIdleWait, r.longestCrashingWait)
+	t.Logf("%d of %d crashing jobs failed, %d workers crashed and lost %v runs", failed, crashing, r.crashes, r.lostRuns)
+	t.Logf("longest wait while workers were idle: %v, of crashing jobs %v", r.longestIdleWait, r.longestCrashingWait)
 }
 
 // TestStormOfCrashingTasks guards against jobs that wait beside idle workers when more tasks crash their workers than the
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -167,8 +167,9 @@
 	}
 	sc := &Scheduler{
 		cfg: cfg, batch: b, token: token, leaderSince: now, alloc: allocator.New(cfg.Allocator),
-		sessions: map[string]*session{}, consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{}, returned: map[*batch.Incarnation]bool{},
-		timings: map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
+		sessions: map[string]*session{}, consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
+		returned: map[*batch.Incarnation]bool{},
+		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
 		meanWork: map[string]float64{},
 		changed:  true,
@@ -320,7 +321,8 @@
 	for _, s := range sc.unackedSessions {
 		s.proposedEnd = s.listedEnd
 	}
-	if len(command.GetEnds())+len(command.GetGone())+len(command.GetWorkers())+len(command.GetPlacements())+len(command.GetForget()) == 0 {
+	if len(command.GetEnds())+len(command.GetGone())+len(command.GetWorkers())+len(command.GetPlacements())+
+		len(command.GetForget()) == 0 {
 		sc.ackEnds(now)
 		return nil
 	}
