--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -125,8 +125,15 @@
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-func jobBody(workMs int64, steps ...step) map[string]any {
-	text, _ := json.Marshal(spec{CPU: steps[0].CPU, WorkMs: workMs})
+func jobBody(workMs int64, steps ...step) map[string]any { return failingJobBody(workMs, 0, steps...) }
+
+// failingJobBody is the body of a job of which the first runs of each task fail.
+func failingJobBody(workMs int64, fails int, steps ...step) map[string]any {
+	gang := 0
+	if steps[0].Gang {
+		gang = steps[0].Count
+	}
+	text, _ := json.Marshal(spec{CPU: steps[0].CPU, WorkMs: workMs, Fails: fails, Gang: gang})
 	return map[string]any{"spec": string(text), "steps": steps}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,8 @@
 	ops     *operator
 	clients *clients
 	trouble bool
+	// labels gives the labels of a runner by its index; nil stands for the same kind everywhere.
+	labels func(int) []string
 }
 
 var scenarios = map[string]func(*scenario) error{}
@@ -84,7 +86,7 @@
 		return errors.Join(errSetup, err)
 	}
 	var err error
-	if s.fleet, err = newFleet(s.cell, s.rec, runners, room); err != nil {
+	if s.fleet, err = newFleet(s.cell, s.rec, runners, room, s.labels); err != nil {
 		return errors.Join(errSetup, err)
 	}
 	if err := s.ops.configure(configBody(1, s.fleet.service, routes...), 20*time.Second); err != nil {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -18,6 +18,7 @@
 	settleWindowMs = 3000
 	drainMs        = 2000
 	stopMs         = 200
+	gangTimeoutMs  = 3000
 	capacityGrace  = (settleWindowMs + heartbeatMs) * time.Millisecond
 )
 
@@ -34,7 +35,11 @@
 	cpu      int64
 	began    time.Time
 	work     time.Duration
+	fails    bool
 	stopping bool
+	// gang is how many members the run has; together is since when all have been present.
+	gang     int
+	together time.Time
 	endsAt   time.Time
 }
 
@@ -78,6 +83,7 @@
 	ends    []end
 	lastEnd int
 	room    amounts
+	labels  []string
 	// shrunkAt and before say since when the room is smaller and what it was.
 	shrunkAt time.Time
 	before   amounts
@@ -89,7 +95,7 @@
 	onStart func(task string, number int) (silent bool, after time.Duration)
 }
 
-func newFleet(c *cell, rec *record, count int, room amounts) (*fleet, error) {
+func newFleet(c *cell, rec *record, count int, room amounts, labels func(int) []string) (*fleet, error) {
 	f := &fleet{
 		cell: c, rec: rec, service: "svc", client: &http.Client{Timeout: time.Second},
 		started: map[string]bool{}, starts: map[string]int{}, finished: map[string]bool{},
@@ -97,7 +103,10 @@
 	for i := range count {
 		r := &runner{
 			fleet: f, id: fmt.Sprintf("i-%04d", i+1), address: fmt.Sprintf("%s:%d", c.ip(101+i), runnerPort), room: room,
-			calls: f.client,
+			labels: []string{"a", fmt.Sprintf("r1-%d", i/8+1)}, calls: f.client,
+		}
+		if labels != nil {
+			r.labels = labels(i)
 		}
 		if err := r.boot(); err != nil {
 			return nil, err
@@ -163,6 +172,10 @@
 type spec struct {
 	CPU    int64 `json:"cpu"`
 	WorkMs int64 `json:"work_ms"`
+	// Fails is how many runs of each task end failed before one succeeds.
+	Fails int `json:"fails,omitempty"`
+	// Gang is how many tasks work only together; 0 for tasks on their own.
+	Gang int `json:"gang,omitempty"`
 }
 
 func (r *runner) handle(do func(http.ResponseWriter, order)) http.HandlerFunc {
@@ -244,9 +257,12 @@
 		return 400, ""
 	}
 	r.extend(o.UntilMs, now)
-	r.runs[o.Task] = &run{task: o.Task, number: o.Run, cpu: s.CPU, began: now, work: time.Duration(s.WorkMs) * time.Millisecond}
 	f.started[strings.SplitN(o.Task, ".", 2)[0]] = true
 	f.starts[o.Task]++
+	r.runs[o.Task] = &run{
+		task: o.Task, number: o.Run, cpu: s.CPU, began: now, work: time.Duration(s.WorkMs) * time.Millisecond,
+		fails: f.starts[o.Task] <= s.Fails, gang: s.Gang,
+	}
 	word := ""
 	if late {
 		word = " (carried out late)"
@@ -349,7 +365,12 @@
 					r.endRun(task, x, "lapsed")
 				case x.stopping && now.After(x.endsAt):
 					r.endRun(task, x, "stopped")
-				case !x.stopping && now.Sub(x.began) >= x.work:
+				case x.stopping:
+				case x.gang > 0:
+					f.tickMember(r, task, x, now)
+				case now.Sub(x.began) >= x.work && x.fails:
+					r.endRun(task, x, "failed")
+				case now.Sub(x.began) >= x.work:
 					r.endRun(task, x, "done")
 				}
 			}
@@ -358,6 +379,30 @@
 	}
 }
 
+// tickMember ends a member of a gang that is done, that has lost another member, or that has waited too long.
+func (f *fleet) tickMember(r *runner, task string, x *run, now time.Time) {
+	step := task[:strings.LastIndex(task, ".")]
+	present := 0
+	for _, other := range f.runners {
+		for name, y := range other.runs {
+			if y.number == x.number && name[:strings.LastIndex(name, ".")] == step {
+				present++
+			}
+		}
+	}
+	switch {
+	case present >= x.gang && x.together.IsZero():
+		x.together = now
+	case x.together.IsZero() && now.Sub(x.began) > gangTimeoutMs*time.Millisecond:
+		r.endRun(task, x, "alone")
+	case x.together.IsZero():
+	case now.Sub(x.together) >= x.work:
+		r.endRun(task, x, "done")
+	case present < x.gang:
+		r.endRun(task, x, "broken")
+	}
+}
+
 func (r *runner) endRun(task string, x *run, how string) {
 	delete(r.runs, task)
 	r.tomb[task] = max(r.tomb[task], x.number)
@@ -401,7 +446,7 @@
 		r.seq++
 		body := map[string]any{
 			"service": f.service, "address": r.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": r.state,
-			"cold_remaining_ms": 0, "capacity": r.room, "labels": []string{"a", "r1-1"}, "clock_ms": r.clock(time.Now()),
+			"cold_remaining_ms": 0, "capacity": r.room, "labels": r.labels, "clock_ms": r.clock(time.Now()),
 			"seq": r.seq, "born": born,
 		}
 		if r.state == "draining" {
