controller: the place of a voter that is away goes to a spare at once

No leader is ever elected again; no job is accepted, no accepted job is known.

Cause: taking a voter's place removed the voter with its data, so the leader waited for 7 s of silence, anew after each change of the leader. Meanwhile the group had one loss less to spare than it must have, although the successor had every entry.

Ruled out: a late join (the successor is a member 0.5 s after its start), and a shorter time alone (it would remove hosts that are only frozen).

Change: a voter that leaves heartbeats unanswered for the longest election timeout, or says in its answers that it is about to stop, loses its place but stays a member with its data, and is the next spare. Only silent non-voters are removed. A successor with its predecessor's name and another address is admitted by the same rule.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -211,12 +211,16 @@
 }
 
 func (c *Controller) newReplicator(restored replicator.RestoredState, now time.Duration) *replicator.Replicator {
-	return replicator.New(replicator.Config{
+	repl := replicator.New(replicator.Config{
 		ID: c.cfg.Store.NodeID(), Heartbeat: c.cfg.Heartbeat, ElectionMin: c.cfg.ElectionMin,
 		ElectionMax: c.cfg.ElectionMax, DriftPercent: c.cfg.Lessor.DriftPercent,
 		Rand:      c.cfg.Rand,
 		Snapshots: c.cfg.Store,
 	}, restored, now)
+	if c.stopDeadline != 0 {
+		repl.SetLeaving()
+	}
+	return repl
 }
 
 // Run runs the control goroutine until ctx is done. A leader then hands leadership over before Run returns, which takes
--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -16,9 +16,9 @@
 	joinTimeout  = 900 * time.Millisecond
 	// queueJoinInterval is shorter, so that a group with queues is complete before the first calls arrive.
 	queueJoinInterval = 300 * time.Millisecond
-	// replaceVoterAfter is how long a voter must be silent before a caught-up non-voter replaces it. Process freezes and
-	// network partitions of a few seconds are over by then.
-	replaceVoterAfter = 7 * time.Second
+	// removeAfter is how long a non-voter must be silent before it is removed. A removed node loses its data, so process
+	// freezes and network partitions of a few seconds must be over by then.
+	removeAfter = 7 * time.Second
 	// nameSilenceTimeouts is how many times ElectionMax a member must be silent before a node with another data folder may
 	// take its name: 10 s with the default settings.
 	nameSilenceTimeouts = 5
@@ -128,8 +128,7 @@
 	}
 	for _, m := range c.repl.Membership().GetMembers() {
 		// Two processes cannot listen on one address, so a member with the same address has lost its data folder.
-		if m.GetName() == e.member.GetName() && m.GetAddress() != e.member.GetAddress() &&
-			c.recentlyInContact(m.GetId(), now) {
+		if m.GetName() == e.member.GetName() && m.GetAddress() != e.member.GetAddress() && c.keepsName(m.GetId(), now) {
 			e.reply(refusalReply(&wire.Refusal{
 				Reason: reason.NameInUse.String(), Detail: "member " + m.GetName() + " is alive with another data folder",
 			}))
@@ -147,20 +146,36 @@
 	e.reply(accepted)
 }
 
-// recentlyInContact reports whether a member is this node or answered within nameSilenceTimeouts election timeouts.
-func (c *Controller) recentlyInContact(id string, now time.Duration) bool {
-	if id == c.repl.ID() {
-		return true
+// keepsName reports whether a member may be alive, so that a node at another address must not take its name. Where
+// voters are replaced automatically, a name is as free as the place of a voter.
+func (c *Controller) keepsName(id string, now time.Duration) bool {
+	if c.cfg.Queues != nil {
+		return !c.isAway(id)
 	}
-	_, ackedSend, acked := c.repl.MatchIndex(id)
+	return id == c.repl.ID() || c.silence(id, now) < nameSilenceTimeouts*c.cfg.ElectionMax
+}
+
+// silence returns how long ago this leader sent the newest message that a member has answered.
+func (c *Controller) silence(id string, now time.Duration) time.Duration {
+	_, heard, acked := c.repl.MatchIndex(id)
 	if !acked {
-		ackedSend = c.assumedContact[id]
+		heard = c.assumedContact[id]
 	}
-	return now-ackedSend < nameSilenceTimeouts*c.cfg.ElectionMax
+	return now - heard
+}
+
+// isAway reports whether another node may take the place of a member: it is about to stop, or it has answered nothing
+// for as long as the longest election timeout.
+func (c *Controller) isAway(id string) bool {
+	return id != c.repl.ID() &&
+		(c.repl.IsLeaving(id) || c.repl.MissedHeartbeats(id) > int(c.cfg.ElectionMax/c.cfg.Heartbeat))
 }
 
 // adjustMembership removes members whose name was taken over by a node with a newer data folder, promotes non-voters
-// that have caught up, and removes silent voters that such a non-voter can replace. It proposes one change at a time.
+// that have caught up, and gives them the places of voters that are away. It proposes one change at a time.
+//
+// A voter whose place is taken stays a member with all its data and may become a voter again, so no proof is needed that
+// its host is lost. Each second for which a lost host keeps its place is one in which the group tolerates fewer losses.
 func (c *Controller) adjustMembership(now time.Duration) {
 	members := c.repl.Membership().GetMembers()
 	voters := 0
@@ -173,53 +188,70 @@
 		if m.GetVoter() || !c.caughtUp(m.GetId(), now) {
 			continue
 		}
-		if old := memberNamed(members[:i], m.GetName()); old != nil {
+		if old := c.predecessor(members[:i], m); old != nil {
 			c.proposeMembership(now, withoutMember(members, old.GetId()))
 			return
 		}
 		if voters < c.cfg.Voters {
-			c.proposeMembership(now, withVoter(members, m.GetId()))
+			c.proposeMembership(now, withVoter(members, m.GetId(), true))
 			return
 		}
-		if silent := c.replaceableVoter(members, now); silent != "" {
-			logger.MemberReplaced.Log(c.cfg.Logger, "silent", silent, "successor", m.GetName())
-			c.proposeMembership(now, withoutMember(members, silent))
+		if away := c.voterAway(members); away != nil {
+			logger.MemberReplaced.Log(c.cfg.Logger, "voter", away.GetName(), "voter_id", away.GetId(),
+				"leaving", c.repl.IsLeaving(away.GetId()), "silent_ms", c.silence(away.GetId(), now).Milliseconds(),
+				"successor", m.GetName())
+			c.proposeMembership(now, withVoter(members, away.GetId(), false))
 			return
 		}
 	}
+	if silent := c.silentNonVoter(members, now); silent != "" {
+		c.proposeMembership(now, withoutMember(members, silent))
+	}
 }
 
-// replaceableVoter returns the id of a voter that has been silent for longer than replaceVoterAfter; empty when there
-// is none.
-func (c *Controller) replaceableVoter(members []*wire.Member, now time.Duration) string {
+// voterAway returns the voter that is away and has missed the most heartbeats; nil when there is none.
+func (c *Controller) voterAway(members []*wire.Member) *wire.Member {
 	if c.cfg.Queues == nil {
-		return ""
+		return nil
 	}
+	var away *wire.Member
 	for _, m := range members {
-		if !m.GetVoter() || m.GetId() == c.repl.ID() {
-			continue
-		}
-		_, heard, acked := c.repl.MatchIndex(m.GetId())
-		if !acked {
-			heard = c.assumedContact[m.GetId()]
+		if m.GetVoter() && c.isAway(m.GetId()) &&
+			(away == nil || c.repl.MissedHeartbeats(m.GetId()) > c.repl.MissedHeartbeats(away.GetId())) {
+			away = m
 		}
-		if now-heard > replaceVoterAfter {
+	}
+	return away
+}
+
+// silentNonVoter returns the id of a non-voter that has been silent for longer than removeAfter; empty when there is
+// none.
+func (c *Controller) silentNonVoter(members []*wire.Member, now time.Duration) string {
+	if c.cfg.Queues == nil {
+		return ""
+	}
+	for _, m := range members {
+		if !m.GetVoter() && c.isAway(m.GetId()) && c.silence(m.GetId(), now) > removeAfter {
 			return m.GetId()
 		}
 	}
 	return ""
 }
 
-// caughtUp reports whether a member lags by at most maxPromotionLag entries and answered within ElectionMin.
+// caughtUp reports whether a member lags by at most maxPromotionLag entries, answered within ElectionMin, and is not
+// about to stop.
 func (c *Controller) caughtUp(id string, now time.Duration) bool {
 	match, ackedSend, acked := c.repl.MatchIndex(id)
-	return acked && now-ackedSend < c.cfg.ElectionMin && match > 0 && match+maxPromotionLag >= c.repl.LastIndex()
+	return acked && now-ackedSend < c.cfg.ElectionMin && match > 0 && match+maxPromotionLag >= c.repl.LastIndex() &&
+		!c.repl.IsLeaving(id)
 }
 
-func memberNamed(members []*wire.Member, name string) *wire.Member {
-	for _, m := range members {
-		if m.GetName() == name {
-			return m
+// predecessor returns the earlier member that a member replaces under its name; nil when there is none. Where voters are
+// replaced automatically, an earlier one at another address may be alive and is treated like any other.
+func (c *Controller) predecessor(earlier []*wire.Member, m *wire.Member) *wire.Member {
+	for _, old := range earlier {
+		if old.GetName() == m.GetName() && (c.cfg.Queues == nil || old.GetAddress() == m.GetAddress()) {
+			return old
 		}
 	}
 	return nil
@@ -235,12 +267,12 @@
 	return next
 }
 
-func withVoter(members []*wire.Member, id string) *wire.Membership {
+func withVoter(members []*wire.Member, id string, voter bool) *wire.Membership {
 	next := &wire.Membership{}
 	for _, m := range members {
 		m = proto.Clone(m).(*wire.Member)
 		if m.GetId() == id {
-			m.Voter = true
+			m.Voter = voter
 		}
 		next.Members = append(next.Members, m)
 	}
--- a/controld/internal/controller/monitoring.go
+++ b/controld/internal/controller/monitoring.go
@@ -23,14 +23,7 @@
 func (c *Controller) silentMembers(now time.Duration) []string {
 	var silent []string
 	for _, m := range c.repl.Membership().GetMembers() {
-		if m.GetId() == c.repl.ID() {
-			continue
-		}
-		_, heard, acked := c.repl.MatchIndex(m.GetId())
-		if !acked {
-			heard = c.assumedContact[m.GetId()]
-		}
-		if now-heard >= memberSilenceThreshold {
+		if m.GetId() != c.repl.ID() && c.silence(m.GetId(), now) >= memberSilenceThreshold {
 			silent = append(silent, m.GetId())
 		}
 	}
--- a/controld/internal/controller/stop.go
+++ b/controld/internal/controller/stop.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/wire"
 )
 
 // ErrRemoved is returned by Run when this node was removed from the consensus group.
@@ -21,15 +23,17 @@
 
 // readyToStop prepares a planned stop and reports whether the control goroutine may end. A leader first hands
 // leadership over and continues until it hears from its successor, so that the request to take over has left this host.
+// A voter continues until a spare node, if there is one, has taken its place: the host may never come back.
 func (c *Controller) readyToStop(now time.Duration) bool {
 	if c.stopDeadline == 0 {
 		c.stopDeadline = now + c.cfg.ElectionMax
+		c.repl.SetLeaving()
 	}
 	if now >= c.stopDeadline {
 		return true
 	}
 	if !c.repl.IsLeader() {
-		return !c.handedOver || c.repl.LeaderID() != ""
+		return !(c.handedOver && c.repl.LeaderID() == "") && !c.hasSpareForOwnPlace()
 	}
 	if _, err := c.repl.HandOver(now); err != nil {
 		return true
@@ -37,3 +41,9 @@
 	c.handedOver = true
 	return false
 }
+
+// hasSpareForOwnPlace reports whether this node is a voter while another member is not.
+func (c *Controller) hasSpareForOwnPlace() bool {
+	return c.findMember(c.repl.ID()).GetVoter() && slices.ContainsFunc(c.repl.Membership().GetMembers(),
+		func(m *wire.Member) bool { return !m.GetVoter() })
+}
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -26,7 +26,7 @@
 	MemberChanged     = define(2006, slog.LevelInfo, "membership of the consensus group changed")
 	JoinRefused       = define(2007, slog.LevelWarn, "request to join the consensus group refused")
 	RemovedFromGroup  = define(2008, slog.LevelError, "this node was removed from the consensus group")
-	MemberReplaced    = define(2009, slog.LevelWarn, "silent voter is replaced by a node that has caught up")
+	MemberReplaced    = define(2009, slog.LevelWarn, "a node that has caught up takes the place of a voter that is silent or about to stop")
 	SlowDisk          = define(2010, slog.LevelWarn, "leader hands over leadership because its disk is slower than those of the other voters")
 	SyncFailed        = define(2011, slog.LevelError, "the last sync before the process stopped failed")
 	SnapshotPostponed = define(2012, slog.LevelError, "too many open files; the snapshot is stored later")
--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -71,6 +71,7 @@
 	if at := time.Duration(sentAt); !p.acked || at > p.ackedSentAt {
 		p.acked, p.ackedSentAt = true, at
 	}
+	p.missedHeartbeats = 0
 	return p
 }
 
@@ -150,7 +151,7 @@
 }
 
 func (r *Replicator) stepAppend(msg *wire.PeerMessage, request *wire.AppendRequest) {
-	reply := &wire.AppendReply{SentAtNs: request.GetSentAtNs(), DiskFull: r.diskFull}
+	reply := &wire.AppendReply{SentAtNs: request.GetSentAtNs(), DiskFull: r.diskFull, Leaving: r.leaving}
 	defer func() {
 		r.send(&wire.PeerMessage{
 			To:   msg.GetFrom(),
@@ -207,7 +208,7 @@
 }
 
 func (r *Replicator) stepAppendReply(now time.Duration, msg *wire.PeerMessage, p *progress, reply *wire.AppendReply) {
-	p.diskFull = reply.GetDiskFull()
+	p.diskFull, p.leaving = reply.GetDiskFull(), reply.GetLeaving()
 	if !reply.GetAccepted() {
 		p.inFlight = false
 		p.next = max(p.match+1, min(reply.GetHintIndex()+1, r.log.lastIndex()+1))
--- a/core/replicator/election.go
+++ b/core/replicator/election.go
@@ -50,6 +50,12 @@
 	if now-r.lastHeartbeat >= r.cfg.Heartbeat {
 		r.broadcastHeartbeat(now)
 	}
+	if now-r.answersCountedAt >= r.cfg.Heartbeat {
+		r.answersCountedAt = now
+		for _, p := range r.peers {
+			p.missedHeartbeats++
+		}
+	}
 }
 
 // startPreVote asks the voters whether an election would succeed. It does not raise the term, so a node that returns
--- a/core/replicator/handover.go
+++ b/core/replicator/handover.go
@@ -6,8 +6,8 @@
 	"flamingodrift.example/core/wire"
 )
 
-// HandOver starts to transfer leadership to the voter with the most complete log among those that are reachable and
-// have disk space, and returns its id. It fails with ErrNotLeader or ErrNoSuccessor. Proposals are refused until the
+// HandOver starts to transfer leadership to the voter with the most complete log among those that are reachable, have
+// disk space and are not about to stop, and returns its id. It fails with ErrNotLeader or ErrNoSuccessor. Proposals are refused until the
 // successor has every entry; then this node steps down and asks it to start an election. The attempt is abandoned after
 // ElectionMin.
 func (r *Replicator) HandOver(now time.Duration) (string, error) {
@@ -20,7 +20,7 @@
 	best := ""
 	for _, m := range r.Membership().GetMembers() {
 		p := r.peers[m.GetId()]
-		if !m.GetVoter() || p == nil || !p.acked || p.diskFull || now-p.ackedSentAt >= r.cfg.ElectionMin {
+		if !m.GetVoter() || p == nil || !p.acked || p.diskFull || p.leaving || now-p.ackedSentAt >= r.cfg.ElectionMin {
 			continue
 		}
 		if best == "" || p.match > r.peers[best].match {
@@ -57,6 +57,9 @@
 // SetDiskFull sets whether this node's disk is full. HandOver does not choose a node with a full disk.
 func (r *Replicator) SetDiskFull(full bool) { r.diskFull = full }
 
+// SetLeaving makes this node tell the leader that it is about to stop.
+func (r *Replicator) SetLeaving() { r.leaving = true }
+
 // finishHandover steps down and asks the successor to take over once it has the whole log and all of it is committed.
 // The lease ends here, before the message that permits the election is created, and this node cannot lead the same term
 // again.
@@ -76,7 +79,7 @@
 // stepTakeOver starts an election without a pre-vote. The leader of this term has stepped down, so no lease is
 // violated.
 func (r *Replicator) stepTakeOver(now time.Duration, msg *wire.PeerMessage) {
-	if msg.GetTerm() != r.term || r.role == leader || r.diskFull || !r.isVoter(r.cfg.ID) {
+	if msg.GetTerm() != r.term || r.role == leader || r.diskFull || r.leaving || !r.isVoter(r.cfg.ID) {
 		return
 	}
 	r.startElection(now, true)
--- a/core/replicator/handover_test.go
+++ b/core/replicator/handover_test.go
@@ -96,3 +96,33 @@
 	n.run(2 * simElectionMin)
 	require.True(t, n.propose(n.awaitLeaseHolder(), []byte("y")))
 }
+
+// Guards against a leader that hands over to a voter that is about to stop: the group would be without a leader again.
+func TestHandoverAvoidsLeavingVoters(t *testing.T) {
+	n := newNetwork(t, 23, 3)
+	leader := n.awaitLeaseHolder()
+	leaving := otherThan(n, leader)
+	leaving.repl.SetLeaving()
+	n.run(time.Second)
+	require.True(t, leader.repl.IsLeaving(leaving.id))
+	successor, err := leader.repl.HandOver(n.clock(leader))
+	require.NoError(t, err)
+	require.Equal(t, otherThan(n, leader, leaving).id, successor)
+}
+
+// Guards against a busy leader that never counts a silent member: each commit sends a message, and then no heartbeat of
+// its own is due.
+func TestMissedHeartbeatsAreCountedUnderLoad(t *testing.T) {
+	n := newNetwork(t, 24, 3)
+	leader := n.awaitLeaseHolder()
+	lost := otherThan(n, leader)
+	n.stop(lost)
+	for range 20 {
+		for range 10 {
+			n.run(simHeartbeat / 10)
+			require.True(t, n.propose(leader, []byte("load")))
+		}
+	}
+	require.GreaterOrEqual(t, leader.repl.MissedHeartbeats(lost.id), 15)
+	require.LessOrEqual(t, leader.repl.MissedHeartbeats(otherThan(n, leader, lost).id), 1)
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -115,6 +115,10 @@
 	snapshotOffset uint64
 	snapshotIndex  uint64
 	diskFull       bool
+	// leaving is set while the member says that it is about to stop.
+	leaving bool
+	// missedHeartbeats counts the heartbeat intervals since the member's last answer.
+	missedHeartbeats int
 }
 
 // indexedMembership is a membership and the index of the log entry that set it.
@@ -149,13 +153,16 @@
 	lastLeaderContact time.Duration
 	hadLeaderContact  bool
 	lastHeartbeat     time.Duration
-	leaderSince       time.Duration
+	// answersCountedAt is when the leader last counted the members that have not answered.
+	answersCountedAt time.Duration
+	leaderSince      time.Duration
 	// termStartIndex is the index of the first entry that this leader appended in its term.
 	termStartIndex uint64
 	// successor is the voter to which this leader hands over leadership; empty if there is no handover.
 	successor        string
 	handoverDeadline time.Duration
 	diskFull         bool
+	leaving          bool
 
 	incomingState  []byte
 	incomingMeta   *wire.SnapshotMeta
@@ -260,6 +267,23 @@
 	return p.match, p.ackedSentAt, p.acked
 }
 
+// MissedHeartbeats returns for how many heartbeat intervals in a row a member has answered nothing. Unlike the time
+// since its last answer, the number does not grow while this node itself is suspended. It is meaningful only on the
+// leader.
+func (r *Replicator) MissedHeartbeats(id string) int {
+	if p := r.peers[id]; p != nil {
+		return p.missedHeartbeats
+	}
+	return 0
+}
+
+// IsLeaving reports whether a member said in its last answer that it is about to stop. It is meaningful only on the
+// leader.
+func (r *Replicator) IsLeaving(id string) bool {
+	p := r.peers[id]
+	return p != nil && p.leaving
+}
+
 // HasLease reports whether this node leads, has committed an entry of its own term, and holds the leader lease: a
 // majority of voters answered messages that it sent within the last ElectionMin less the clock drift. While the lease
 // lasts, no other node can be elected.
