scheduler: a leaving worker's message is no proof that its runs have ended

Cause: the DELETE was committed as the end of the worker and of all its runs. The worker only ends when the answer arrives, or some seconds later without one; nothing stopped its runs or waited for its lease.

Ruled out: the lost answer (without loss the tasks also ran twice, for as long as the answer took); a late message of an earlier incarnation.

Change: the message stops the runs and ends the renewal of the lease. It is answered when the ends are in the log, or 2.5 s after the first message; then the lease is waited for. A worker whose report of draining was lost is recorded as draining first.

--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"flamingodrift.example/controld/internal/resource"
 	"flamingodrift.example/core/wire"
 )
@@ -39,6 +41,13 @@
 	})
 }
 
+// DrainCommand returns the command that records that an incarnation is draining.
+func DrainCommand(inc *Incarnation) *wire.QueueCommand {
+	report := proto.Clone(inc.report).(*wire.WorkerLife)
+	report.Draining = true
+	return &wire.QueueCommand{Workers: []*wire.WorkerLife{report}}
+}
+
 func (inc *Incarnation) addRun(t *Task) {
 	inc.used = inc.used.Add(t.step.need)
 	inc.tasks[t] = t.step.job.queue.GetPriority() == 0
--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -119,6 +119,8 @@
 	decisionsInLog bool
 	// workerEvents holds the worker events that the next iteration proposes.
 	workerEvents []*wire.WorkerEvent
+	// leaves holds the messages of leaving workers that are not answered yet.
+	leaves []pendingLeave
 	// inFlight holds the keys of events that are queued or proposed and not applied yet.
 	inFlight map[string]bool
 	// assumedContact maps a member's id to the time that counts as its last contact until it answers this leader.
--- a/controld/internal/controller/leader.go
+++ b/controld/internal/controller/leader.go
@@ -63,6 +63,7 @@
 	}
 	c.leading = false
 	c.lease.Store(nil)
+	c.failLeaves()
 	c.lessor, c.planner, c.workerEvents, c.inFlight, c.scheduler, c.orders = nil, nil, nil, nil, nil, nil
 	logger.LeaderStopped.Log(c.cfg.Logger, "term", c.leaderTerm)
 }
@@ -76,6 +77,7 @@
 	c.expireLeases(now)
 	c.proposeWorkerEvents(now)
 	c.proposeDecisions(now)
+	c.answerLeaves(now)
 	c.runQueueDuties(now)
 	if count := c.cell.Claims().Expired(maxExpiredClaims, time.Now().UnixMilli()); count > 0 && !c.inFlight["expire"] {
 		c.inFlight["expire"] = true
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -316,22 +316,6 @@
 	})
 }
 
-// handleWorkerLeave records that a worker has left, as it reports itself. It ignores the message unless the worker is
-// draining: a delayed message of an earlier incarnation must not end the current one.
-func (c *Controller) handleWorkerLeave(e queueEvent, leave *wire.WorkerLife, now time.Duration) {
-	incarnation := c.cell.Batch().Incarnation(leave.GetWorker())
-	if incarnation == nil || !incarnation.Draining() ||
-		leave.GetBornUnixMs() != 0 && leave.GetBornUnixMs() != incarnation.StartedUnixMs() {
-		e.answer(&wire.QueueReply{})
-		return
-	}
-	departed := &wire.WorkerLife{Worker: incarnation.Worker(), BornUnixMs: incarnation.StartedUnixMs()}
-	c.proposeQueueCommand(e, &wire.QueueCommand{Gone: []*wire.WorkerLife{departed}}, now, func(*wire.Result) {
-		logger.WorkerLeft.Log(c.cfg.Logger, "worker", departed.GetWorker(), "born_unix_ms", departed.GetBornUnixMs())
-		e.answer(&wire.QueueReply{})
-	})
-}
-
 func (c *Controller) controlAddresses() []string {
 	var addresses []string
 	for _, m := range c.repl.Membership().GetMembers() {
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -30,6 +30,12 @@
 	starts   int
 	// startOrders is the number of start orders that arrived.
 	startOrders int
+	// runDuration is how long a run takes that starts now.
+	runDuration time.Duration
+	// stopDuration is how long a run goes on after an order to stop.
+	stopDuration time.Duration
+	// losesStops makes all stop orders get lost.
+	losesStops bool
 }
 
 type fakeWorker struct {
@@ -45,11 +51,12 @@
 }
 
 type fakeRun struct {
-	number int
-	ends   time.Duration
+	number   int
+	ends     time.Duration
+	stopping bool
 }
 
-const runDuration = 700 * time.Millisecond
+const defaultRunDuration = 700 * time.Millisecond
 
 // taskOf returns the key of a run's task: the run without its number.
 func taskOf(run executor.Run) executor.Run {
@@ -60,7 +67,7 @@
 func newFakeFleet(t *testing.T, seed uint64, count int) *fakeFleet {
 	f := &fakeFleet{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, running: map[executor.Run]string{},
-		done: map[executor.Run]bool{},
+		done: map[executor.Run]bool{}, runDuration: defaultRunDuration,
 	}
 	for i := range count {
 		f.workers[fmt.Sprintf("w%d", i)] = &fakeWorker{
@@ -86,6 +93,8 @@
 			switch {
 			case f.group.now > w.leaseUntil:
 				f.end(name, k, executor.OutcomeLeaseEnded)
+			case f.group.now >= run.ends && run.stopping:
+				f.end(name, k, executor.OutcomeStopped)
 			case f.group.now >= run.ends:
 				f.done[k] = true
 				f.end(name, k, executor.OutcomeDone)
@@ -153,7 +162,7 @@
 	require.Empty(f.t, f.running[k], "task %v runs twice at a time", k)
 	require.False(f.t, f.done[k], "task %v starts again after it was done", k)
 	require.Less(f.t, len(w.runs), 2, "worker %s has capacity for 2 runs", name)
-	w.runs[k] = fakeRun{number: o.Run.Run, ends: f.group.now + runDuration}
+	w.runs[k] = fakeRun{number: o.Run.Run, ends: f.group.now + f.runDuration}
 	f.running[k] = name
 	f.starts++
 	return f.answer(executor.Done)
@@ -161,6 +170,9 @@
 
 // Stop implements executor.Executor.
 func (f *fakeFleet) Stop(_ context.Context, to executor.Address, o executor.Stop) executor.Answer {
+	if f.losesStops {
+		return executor.Answer{}
+	}
 	return f.withFaults(func() executor.Answer {
 		w, k := f.workers[to.Worker], taskOf(o.Run)
 		if o.Token < w.token {
@@ -168,7 +180,12 @@
 		}
 		w.token = o.Token
 		w.lastEndedRun[k] = max(w.lastEndedRun[k], o.Run.Run)
-		if w.runs[k].number == o.Run.Run {
+		run := w.runs[k]
+		switch {
+		case run.number != o.Run.Run || run.stopping:
+		case f.stopDuration > 0:
+			w.runs[k] = fakeRun{number: run.number, ends: f.group.now + f.stopDuration, stopping: true}
+		default:
 			f.end(to.Worker, k, executor.OutcomeStopped)
 		}
 		return f.answer(executor.Done)
--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -117,12 +117,7 @@
 			sc.endRun(s, t, r, crashResult(r, crashes[t]), now)
 		}
 	}
-	if !s.removalQueued {
-		s.removalQueued = true
-		sc.lostWorkers = append(sc.lostWorkers, &wire.WorkerLife{
-			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
-		})
-	}
+	sc.removeWorker(s)
 }
 
 // crashEnds returns the ends of the runs of a worker that has started again, to be committed with the registration of
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -71,6 +71,8 @@
 	removalQueued bool
 	// crashLogged is set once the crash of the incarnation was logged.
 	crashLogged bool
+	// leavingSince is when the worker first said that it is about to end; 0 if it has not.
+	leavingSince time.Duration
 	// drainDeadline is when a draining worker may shut down; 0 if it has not reported it.
 	drainDeadline time.Duration
 }
@@ -231,6 +233,10 @@
 			continue
 		}
 		sc.checkRuns(s, now)
+		if s.leavingSince != 0 && s.hasAnswered && len(incarnation.Tasks())+len(s.unknownRuns) == 0 {
+			sc.removeWorker(s)
+			continue
+		}
 		if now-s.lastHeardAt > silentWorkerTimeout && now-s.lastAnswerAt > silentWorkerTimeout && sc.leaseExpired(s, now) {
 			s.lastHeardAt = now
 			logger.WorkerLost.Log(sc.cfg.Logger, "worker", incarnation.Worker(),
@@ -247,8 +253,9 @@
 	if now-s.lastAnswerAt <= ackWindow {
 		order.AckedEnd = s.committedEnd
 	}
-	if s.hasClock && !s.unreachable {
-		// The lease of a worker that receives orders but whose answers are lost must not be renewed, or it would never end.
+	if s.hasClock && !s.unreachable && s.leavingSince == 0 {
+		// The lease of a worker that receives orders but whose answers are lost must not be renewed, or it would never end,
+		// nor that of a worker that may end without another word.
 		order.Until = sc.leaseEnd(s, now, sc.cfg.Lease)
 		s.leaseUntil = max(s.leaseUntil, order.Until)
 	}
