scheduler: a worker confirms a report that it has started again

With a start time that is too large the worker's own reports counted as outdated for 10 s. A report with another pool made the worker useless for its queues, and nothing put that right.

Cause: the report itself was the proof that the former incarnation had ended. Ruled out: late reports, which have an earlier start time and are ignored.

Change: the leader asks the worker at the address in the report, and registers the new incarnation if the answer bears its start time, one round trip later. A report that names another pool than the present incarnation's is refused. A report whose commit fails is not acknowledged any more.

--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -41,6 +41,14 @@
 	})
 }
 
+// ReportFields returns a worker's report as fields of a log event.
+func ReportFields(report *wire.WorkerLife) []any {
+	return []any{
+		"worker", report.GetWorker(), "born_unix_ms", report.GetBornUnixMs(), "address", report.GetAddress(),
+		"rack", report.GetRack(), "pool", report.GetPool(),
+	}
+}
+
 // DrainCommand returns the command that records that an incarnation is draining.
 func DrainCommand(inc *Incarnation) *wire.QueueCommand {
 	report := proto.Clone(inc.report).(*wire.WorkerLife)
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -295,6 +295,13 @@
 }
 
 func (c *Controller) handleWorkerReport(e queueEvent, report *wire.WorkerLife, now time.Duration) {
+	present := c.cell.Batch().Incarnation(report.GetWorker())
+	if present != nil && present.StartedUnixMs() == report.GetBornUnixMs() && present.Report().GetPool() != report.GetPool() {
+		// A worker belongs to one pool as long as it lives, so the report is not its own.
+		logger.ReportRefused.Log(c.cfg.Logger, append(batch.ReportFields(report), "present_pool", present.Report().GetPool())...)
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, "the worker belongs to another pool")
+		return
+	}
 	reply := &wire.QueueReply{WorkerAddress: c.cfg.Queues.WorkerAddress}
 	command := c.scheduler.RecordReport(report, now)
 	if command == nil {
@@ -305,13 +312,16 @@
 		e.turnAway("the leader's disk is full", diskFullRetryDelay)
 		return
 	}
-	c.proposeQueueCommand(e, proto.Clone(command).(*wire.QueueCommand), now, func(*wire.Result) {
+	c.proposeQueueCommand(e, proto.Clone(command).(*wire.QueueCommand), now, func(result *wire.Result) {
+		if result.GetReason() != "" {
+			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, result.GetDetail())
+			return
+		}
 		line := logger.WorkerRegistered
 		if report.GetDraining() {
 			line = logger.WorkerDraining
 		}
-		line.Log(c.cfg.Logger, "worker", report.GetWorker(), "born_unix_ms", report.GetBornUnixMs(),
-			"address", report.GetAddress(), "rack", report.GetRack(), "pool", report.GetPool())
+		line.Log(c.cfg.Logger, batch.ReportFields(report)...)
 		e.answer(reply)
 	})
 }
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -17,6 +17,7 @@
 	replayTick         = 5 * time.Millisecond
 	commitDelay        = 20 * time.Millisecond
 	orderDelay         = 5 * time.Millisecond
+	reportInterval     = 1500 * time.Millisecond
 	checkpointInterval = 500 * time.Millisecond
 	gangStartTimeout   = 3 * time.Second
 	// settleTime is how long a replay continues after the last arrival.
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -21,6 +21,10 @@
 	if s == nil {
 		return
 	}
+	if o.Restart != nil {
+		sc.restartAnswered(s, o, report, answer)
+		return
+	}
 	s.renewing = false
 	if answer.Status != executor.Done ||
 		report.StartedUnixMs != 0 && report.StartedUnixMs != s.incarnation.StartedUnixMs() {
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -102,6 +102,8 @@
 	unackedSessions []*session
 	// lostWorkers holds the workers that the next command removes.
 	lostWorkers []*wire.WorkerLife
+	// restarted holds the confirmed reports of workers that have started again; the next command registers them.
+	restarted []*wire.WorkerLife
 	// returned holds the workers that have answered after they counted as crashed; the next command tells so.
 	returned map[*batch.Incarnation]bool
 	// proposed is the command that was proposed to the log and is not yet applied, or nil.
@@ -149,6 +151,8 @@
 	Incarnation *batch.Incarnation
 	Order       executor.Renew
 	SentAt      time.Duration
+	// Restart is set when the order asks the worker whether it has started again as a report says.
+	Restart *wire.WorkerLife
 }
 
 // ConsentRequest is a request to the consent service, made by a helper.
@@ -312,6 +316,7 @@
 		}
 	}
 	clear(sc.returned)
+	sc.registerRestarted(command, now)
 	if (sc.changed || now >= sc.decideBy) && now >= sc.earliestRound {
 		sc.changed, sc.decideBy = false, now+decideInterval
 		sc.stopUnneededRuns(now)
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -65,6 +65,8 @@
 	index int
 	// closedClock is the expected reading of the worker's clock when it closed a connection on which a renewal waited.
 	closedClock time.Duration
+	// confirming is the start time of the later incarnation that the worker is being asked about; 0 if it is not.
+	confirming int64
 	// replaced is set once another worker has answered at the address: this one has crashed.
 	replaced bool
 	// removalQueued is set once the removal of the incarnation was queued for the log.
@@ -169,8 +171,8 @@
 	return s.clock + (now - s.clockAt) + length
 }
 
-// RecordReport records a worker's report about itself. It returns a command with the report if it must be committed before it is
-// acknowledged, and nil if it contains no change.
+// RecordReport records a worker's report about itself. It returns a command with the report if it must be committed before it
+// is acknowledged, and nil if it contains no change or the worker must confirm it first.
 func (sc *Scheduler) RecordReport(report *wire.WorkerLife, now time.Duration) *wire.QueueCommand {
 	change := &wire.QueueCommand{Workers: []*wire.WorkerLife{report}}
 	incarnation := sc.batch.Incarnation(report.GetWorker())
@@ -178,8 +180,8 @@
 		return change
 	}
 	if incarnation.StartedUnixMs() < report.GetBornUnixMs() {
-		change.Ends = sc.crashEnds(sc.sessionFor(incarnation, now), now)
-		return change
+		sc.confirmRestart(sc.sessionFor(incarnation, now), report, now)
+		return nil
 	}
 	if incarnation.StartedUnixMs() > report.GetBornUnixMs() {
 		return nil
