--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -291,6 +292,8 @@
 	require.NotEmpty(t, CheckJob(testJob(jobID, &wire.JobStep{Count: 0})))
 	require.NotEmpty(t, CheckJob(testJob(jobID, &wire.JobStep{Count: 1, After: []uint32{0}})))
 	require.NotEmpty(t, CheckJob(testJob(jobID, &wire.JobStep{Count: 1, CpuMillis: -1})))
+	require.NotEmpty(t, CheckJob(testJob(jobID, &wire.JobStep{Count: 1, CpuMillis: math.MaxInt64})))
+	require.NotEmpty(t, CheckJob(testJob(jobID, &wire.JobStep{Count: 1, MemoryMb: math.MaxInt64})))
 }
 
 // TestRandomCommands checks these invariants under random commands: runs never exceed the capacity of a worker, a task
--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -30,11 +30,12 @@
 }
 
 func (inc *Incarnation) update(report *wire.WorkerLife) {
+	// A draining worker stays draining until it restarts, so an older report of it is still true, and one of its former state
+	// that arrives late must not undo it.
+	inc.draining = inc.draining || report.GetDraining()
 	if inc.IsOutdated(report) {
 		return
 	}
-	// A draining worker stays draining until it restarts. An older report that arrives late must not undo that.
-	inc.draining = inc.draining || report.GetDraining()
 	inc.report = report
 	inc.capacity = resource.New(&wire.Resources{
 		CpuMilli: report.GetCpuMillis(), MemoryMb: report.GetMemoryMb(), Accelerators: report.GetGpus(),
--- a/controld/internal/batch/route.go
+++ b/controld/internal/batch/route.go
@@ -13,6 +13,9 @@
 	maxSteps     = 64
 	// MaxTasks bounds the tasks of one job.
 	MaxTasks = 10_000
+	// maxAmount bounds what a task may ask for, in the unit of each resource. No worker may report more, and sums over all
+	// tasks must not overflow.
+	maxAmount = 1 << 40
 )
 
 // Route returns the queue of the configuration in force that has the host and the longest matching path prefix, and the
@@ -54,8 +57,10 @@
 				return fmt.Sprintf("step %d depends on step %d, which is not an earlier one", number, before)
 			}
 		}
-		if step.GetCpuMillis() < 0 || step.GetMemoryMb() < 0 || step.GetGpus() < 0 {
-			return fmt.Sprintf("step %d asks for a negative amount", number)
+		for _, amount := range []int64{step.GetCpuMillis(), step.GetMemoryMb(), step.GetGpus()} {
+			if amount < 0 || amount > maxAmount {
+				return fmt.Sprintf("step %d asks for an amount below 0 or above %d", number, int64(maxAmount))
+			}
 		}
 	}
 	return ""
--- a/controld/internal/scheduler/scheduler_test.go
+++ b/controld/internal/scheduler/scheduler_test.go
@@ -635,6 +635,11 @@
 		r.Sequence, r.CpuMillis, r.MemoryMb, r.Gpus = sequence, cpuMillis, memoryMB, gpus
 		return r
 	}
+	draining := func(sequence uint64) *wire.WorkerLife {
+		r := report(sequence, 8000, 8000, 2)
+		r.Draining = true
+		return r
+	}
 	tests := []struct {
 		name    string
 		report  *wire.WorkerLife
@@ -646,6 +651,7 @@
 		{"fewer accelerators", report(4, 8000, 8000, 1), true},
 		{"sent again", report(3, 4000, 8000, 2), true},
 		{"overtaken", report(2, 4000, 8000, 2), false},
+		{"overtaken, but draining", draining(2), true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -190,6 +190,9 @@
 	s.lastHeardAt = now
 	if report.GetSequence() > 0 {
 		if report.GetSequence() < s.reportSequence || incarnation.IsOutdated(report) {
+			if report.GetDraining() && !incarnation.Draining() {
+				return change
+			}
 			return nil
 		}
 		s.reportSequence = report.GetSequence()
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -113,7 +113,9 @@
 	server := khttp.NewServer(khttp.Address(cfg.Queues.Address), khttp.Timeout(0))
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
-	server.HandlePrefix("/", controlhandler.New(queuecaller.New(leader)))
+	server.HandlePrefix("/", controlhandler.New(controlhandler.Config{
+		Queues: queuecaller.New(leader), Logger: log,
+	}))
 	return &queueServer{
 		http: server, leader: leader,
 		consent: consentserver.New(consentserver.Config{
