--- a/controld/internal/controller/stop.go
+++ b/controld/internal/controller/stop.go
@@ -33,7 +33,8 @@
 		return true
 	}
 	if !c.repl.IsLeader() {
-		return !(c.handedOver && c.repl.LeaderID() == "") && !c.hasSpareForOwnPlace()
+		awaitsSuccessor := c.handedOver && c.repl.LeaderID() == ""
+		return !awaitsSuccessor && !c.hasSpareForOwnPlace()
 	}
 	if _, err := c.repl.HandOver(now); err != nil {
 		return true
--- a/core/replicator/handover.go
+++ b/core/replicator/handover.go
@@ -7,9 +7,9 @@
 )
 
 // HandOver starts to transfer leadership to the voter with the most complete log among those that are reachable, have
-// disk space and are not about to stop, and returns its id. It fails with ErrNotLeader or ErrNoSuccessor. Proposals are refused until the
-// successor has every entry; then this node steps down and asks it to start an election. The attempt is abandoned after
-// ElectionMin.
+// disk space and are not about to stop, and returns its id. It fails with ErrNotLeader or ErrNoSuccessor. Proposals are
+// refused until the successor has every entry; then this node steps down and asks it to start an election. The attempt is
+// abandoned after ElectionMin.
 func (r *Replicator) HandOver(now time.Duration) (string, error) {
 	if !r.HasLease(now) {
 		return "", ErrNotLeader
