scheduler: a new leader doesn't take logged capacities for just reported

Cause: a worker gets runs within 4 s of its last report, and a new leader counted from its own start, although nobody had taken reports during the outage.

Change: the age counts from the last moment at which a leader took reports, as far as the new one knows.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -129,6 +129,9 @@
 	// leaderSince is when this node became the leader of leaderTerm.
 	leaderSince time.Duration
 
+	// reportsKnownAt is the latest time at which this node led with the leader lease, and took the reports of workers.
+	reportsKnownAt time.Duration
+
 	lastJoin time.Duration
 	// nextPeer counts the join requests; modulo the number of peers it selects the next one.
 	nextPeer int
--- a/controld/internal/controller/leader.go
+++ b/controld/internal/controller/leader.go
@@ -73,6 +73,7 @@
 	if !c.repl.HasLease(now) {
 		return
 	}
+	c.reportsKnownAt = now
 	c.adjustMembership(now)
 	c.expireLeases(now)
 	c.proposeWorkerEvents(now)
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -69,6 +69,10 @@
 	if c.cfg.Queues != nil {
 		config := c.cfg.Queues.Scheduler
 		config.Meter = c.cfg.Meter
+		config.ReportsKnownAt = c.reportsKnownAt
+		if at, heard := c.repl.HeardLeaderAt(); heard {
+			config.ReportsKnownAt = max(config.ReportsKnownAt, at)
+		}
 		c.scheduler = scheduler.New(config, c.cell.Batch(), c.repl.Term(), now)
 	}
 }
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -30,6 +30,8 @@
 	starts   int
 	// startOrders is the number of start orders that arrived.
 	startOrders int
+	// capacity is how many runs each worker has room for.
+	capacity int
 	// runDuration is how long a run takes that starts now.
 	runDuration time.Duration
 	// stopDuration is how long a run goes on after an order to stop.
@@ -69,7 +71,7 @@
 func newFakeFleet(t *testing.T, seed uint64, count int) *fakeFleet {
 	f := &fakeFleet{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, running: map[executor.Run]string{},
-		done: map[executor.Run]bool{}, runDuration: defaultRunDuration,
+		done: map[executor.Run]bool{}, capacity: 2, runDuration: defaultRunDuration,
 	}
 	for i := range count {
 		f.workers[fmt.Sprintf("w%d", i)] = &fakeWorker{
@@ -163,7 +165,7 @@
 	w.token, w.leaseUntil = o.Token, max(w.leaseUntil, o.Until)
 	require.Empty(f.t, f.running[k], "task %v runs twice at a time", k)
 	require.False(f.t, f.done[k], "task %v starts again after it was done", k)
-	require.Less(f.t, len(w.runs), 2, "worker %s has capacity for 2 runs", name)
+	require.Less(f.t, len(w.runs), f.capacity, "worker %s has capacity for %d runs", name, f.capacity)
 	w.runs[k] = fakeRun{number: o.Run.Run, ends: f.group.now + f.runDuration}
 	f.running[k] = name
 	f.starts++
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -32,6 +32,11 @@
 	// ReportValidity is how long after its last report a worker gets new runs. After that its capacity may have shrunk. 0
 	// means without limit.
 	ReportValidity time.Duration
+	// ReportInterval is the interval at which workers report.
+	ReportInterval time.Duration
+	// ReportsKnownAt is the latest time at which the reports of the workers were certainly in the log, because a leader took
+	// them. Each worker had reported within ReportInterval before it.
+	ReportsKnownAt time.Duration
 	// EndedJobRetention is how long an ended job is kept.
 	EndedJobRetention time.Duration
 	Logger            *slog.Logger
@@ -183,7 +188,7 @@
 		sc.updateMeanWork(j)
 	}
 	for _, incarnation := range b.Incarnations() {
-		sc.sessionFor(incarnation, now)
+		sc.sessionFor(incarnation, now).reportedAt = cfg.ReportsKnownAt - cfg.ReportInterval
 	}
 	return sc
 }
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -171,8 +171,8 @@
 	return s.clock + (now - s.clockAt) + length
 }
 
-// RecordReport records a worker's report about itself. It returns a command with the report if it must be committed before it
-// is acknowledged, and nil if it contains no change or the worker must confirm it first.
+// RecordReport records a worker's report about itself. It returns a command with the report if it must be committed before
+// it is acknowledged, and nil if it contains no change or the worker must confirm it first.
 func (sc *Scheduler) RecordReport(report *wire.WorkerLife, now time.Duration) *wire.QueueCommand {
 	change := &wire.QueueCommand{Workers: []*wire.WorkerLife{report}}
 	incarnation := sc.batch.Incarnation(report.GetWorker())
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -89,6 +89,7 @@
 			Lease: lease, LongestLease: loader.Milliseconds(cfg.Queues.LongestLeaseMs), RenewWait: renewWait,
 			AnswerTimeout: orderAnswerTimeout, StartLease: startLease,
 			ClockDriftPercent: workerClockDriftPercent, EndedJobRetention: endedJobRetention, Logger: log,
+			ReportInterval: loader.Milliseconds(cfg.Queues.ReportIntervalMs),
 			ReportValidity: loader.Milliseconds(cfg.Queues.ReportIntervalMs+cfg.Queues.CapacityGraceMs) - orderDelay,
 			Allocator:      allocator.Config{Headroom: headroomShare, StopTime: stopTime, MaxReservingGangs: maxReservingGangs},
 		},
--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -50,6 +50,7 @@
 		r.becomeFollower(now, msg.GetTerm(), msg.GetFrom())
 	}
 	r.hadLeaderContact, r.lastLeaderContact = true, now
+	r.heardLeader, r.heardLeaderAt = true, now
 	r.resetElectionTimeout(now)
 	return true
 }
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -152,7 +152,10 @@
 	votesRequestedAt  time.Duration
 	lastLeaderContact time.Duration
 	hadLeaderContact  bool
-	lastHeartbeat     time.Duration
+	// heardLeaderAt is when this node last heard from another node that leads; heardLeader is set once it has.
+	heardLeaderAt time.Duration
+	heardLeader   bool
+	lastHeartbeat time.Duration
 	// answersCountedAt is when the leader last counted the members that have not answered.
 	answersCountedAt time.Duration
 	leaderSince      time.Duration
@@ -257,6 +260,11 @@
 	return now - r.lastLeaderContact
 }
 
+// HeardLeaderAt returns when this node last heard from another node that leads, and whether it has since its start.
+func (r *Replicator) HeardLeaderAt() (at time.Duration, heard bool) {
+	return r.heardLeaderAt, r.heardLeader
+}
+
 // MatchIndex returns the last index known to be stored by a member, and when this node sent the newest message that the
 // member answered. It is meaningful only on the leader.
 func (r *Replicator) MatchIndex(id string) (match uint64, ackedSentAt time.Duration, acked bool) {
