--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -49,11 +49,6 @@
 func (c *Caller) Call(ctx context.Context, call *wire.QueueCall) *wire.QueueReply {
 	timeout := c.timeout(clock.New().Now())
 	searchEnd := time.Now().Add(timeout)
-	if end, ok := ctx.Deadline(); ok && call.GetWorker() != nil {
-		// Workers report at intervals, and a new leader starts nothing on a worker before its report. So a report waits for
-		// the leader as long as its sender does.
-		searchEnd = end
-	}
 	if !mutates(call) {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout)
