scheduler: log whose lease is over and that another incarnation answered

The logs of the incident didn't say which lease the leader counted as over, nor that an order made for one incarnation of a worker was answered by another, so three hypotheses could not be told apart.

FD2113 logs a lease that is over with the time since the last order that extended it, FD2114 an answer from another incarnation: for renewals by its start time, for starts by a clock that is behind the least that the present incarnation's may show. No decision changes.

--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -27,13 +27,13 @@
 	if isolationOf(t) != notIsolated {
 		s.probeUntil = now + probeTime
 	}
-	s.leaseUntil = max(s.leaseUntil, r.startDeadline)
+	s.extendLease(r.startDeadline, now)
 	order := executor.Start{
 		Run: runID(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: s.token, Until: r.startDeadline,
 		Checkpoint: t.Checkpoint(), Ticket: sc.validTicket(t.Step(), incarnation, now),
 	}
 	sc.pendingWork.Starts = append(sc.pendingWork.Starts, StartOrder{
-		To: address(incarnation), Incarnation: incarnation, Task: t, Order: order,
+		To: address(incarnation), Incarnation: incarnation, Task: t, Order: order, SentAt: now,
 	})
 }
 
@@ -48,6 +48,12 @@
 		return
 	}
 	if answer.HasClock && answer.Status != executor.OtherIncarnation {
+		if least := sc.leastClock(s, o.SentAt); s.hasClock && answer.Clock < least {
+			logger.OtherIncarnation.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
+				"born_unix_ms", s.incarnation.StartedUnixMs(), "order", "start", "job", o.Order.Run.Job, "step", o.Order.Run.Step,
+				"index", o.Order.Run.Index, "run", o.Order.Run.Run, "verdict", answer.Status.String(),
+				"clock_ms", answer.Clock.Milliseconds(), "least_clock_ms", least.Milliseconds())
+		}
 		s.latestClock = max(s.latestClock, answer.Clock)
 	}
 	status := answer.Status
@@ -85,8 +91,8 @@
 	}
 	r.startResends++
 	r.startDeadline = sc.leaseEnd(s, now, sc.cfg.StartLease)
-	s.leaseUntil = max(s.leaseUntil, r.startDeadline)
-	o.Order.Until = r.startDeadline
+	s.extendLease(r.startDeadline, now)
+	o.Order.Until, o.SentAt = r.startDeadline, now
 	sc.pendingWork.Starts = append(sc.pendingWork.Starts, o)
 }
 
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -29,6 +29,12 @@
 	if answer.Status != executor.Done ||
 		report.StartedUnixMs != 0 && report.StartedUnixMs != s.incarnation.StartedUnixMs() {
 		s.renewAt = now + renewRetryDelay
+		if answer.Status == executor.Done && s.answeredUnixMs != report.StartedUnixMs {
+			s.answeredUnixMs = report.StartedUnixMs
+			logger.OtherIncarnation.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
+				"born_unix_ms", s.incarnation.StartedUnixMs(), "order", "renewal", "extends_lease", o.Order.Until > 0,
+				"answered_born_unix_ms", report.StartedUnixMs, "clock_ms", answer.Clock.Milliseconds())
+		}
 		if answer.Status == executor.OtherIncarnation {
 			sc.recordOtherIncarnation(s, now)
 		}
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -140,6 +140,7 @@
 	Incarnation *batch.Incarnation
 	Task        *batch.Task
 	Order       executor.Start
+	SentAt      time.Duration
 }
 
 // StopOrder is a stop order for one incarnation of a worker.
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -27,8 +27,9 @@
 	// hasAnswered is set once the worker has answered an order of this term. From then on it rejects orders of earlier
 	// terms.
 	hasAnswered bool
-	// leaseUntil is the latest lease end that this leader has sent, on the worker's clock.
-	leaseUntil time.Duration
+	// leaseUntil is the latest lease end that this leader has sent, on the worker's clock, and leaseSentAt is when.
+	leaseUntil  time.Duration
+	leaseSentAt time.Duration
 	// renewing is set while a renewal is unanswered.
 	renewing     bool
 	renewAt      time.Duration
@@ -67,6 +68,8 @@
 	closedClock time.Duration
 	// confirming is the start time of the later incarnation that the worker is being asked about; 0 if it is not.
 	confirming int64
+	// answeredUnixMs is the start time of the other incarnation that has answered a renewal; 0 if none has.
+	answeredUnixMs int64
 	// replaced is set once another worker has answered at the address: this one has crashed.
 	replaced bool
 	// removalQueued is set once the removal of the incarnation was queued for the log.
@@ -166,6 +169,14 @@
 	return s.clock + elapsed*time.Duration(100-sc.cfg.ClockDriftPercent)/100
 }
 
+// leastClock returns a lower bound of the worker's clock at a time that may lie before its last answer.
+func (sc *Scheduler) leastClock(s *session, at time.Duration) time.Duration {
+	if at < s.clockAt {
+		return s.clock - (s.clockAt - at)
+	}
+	return sc.minWorkerTime(s, at)
+}
+
 // leaseEnd returns the end of a lease on the worker's clock.
 func (sc *Scheduler) leaseEnd(s *session, now, length time.Duration) time.Duration {
 	return s.clock + (now - s.clockAt) + length
@@ -262,7 +273,7 @@
 		// The lease of a worker that receives orders but whose answers are lost must not be renewed, or it would never end,
 		// nor that of a worker that may end without another word.
 		order.Until = sc.leaseEnd(s, now, sc.cfg.Lease)
-		s.leaseUntil = max(s.leaseUntil, order.Until)
+		s.extendLease(order.Until, now)
 	}
 	if !s.hasAnswered || s.unreachable {
 		order.Wait = 0
@@ -273,6 +284,11 @@
 	})
 }
 
+// extendLease records that an order extends the lease of the worker.
+func (s *session) extendLease(until, now time.Duration) {
+	s.leaseUntil, s.leaseSentAt = max(s.leaseUntil, until), now
+}
+
 // leaseExpired reports whether the lease of a worker has certainly expired, so that nothing runs there any more.
 func (sc *Scheduler) leaseExpired(s *session, now time.Duration) bool {
 	if !s.hasClock {
@@ -315,6 +331,7 @@
 	var crashes map[*batch.Task]*wire.WorkerCrash
 	if expired {
 		crashes = sc.suspects(s, false)
+		sc.logLeaseOver(s, now)
 	}
 	for t, r := range s.runs {
 		if r.endQueued {
@@ -332,6 +349,26 @@
 	}
 }
 
+// logLeaseOver logs that the lease of a worker is over, with what that rests on, if runs end for it.
+func (sc *Scheduler) logLeaseOver(s *session, now time.Duration) {
+	runs, uncertain := 0, 0
+	for _, r := range s.runs {
+		if r.endQueued {
+			continue
+		}
+		runs++
+		if r.startUnanswered {
+			uncertain++
+		}
+	}
+	if runs == 0 {
+		return
+	}
+	logger.LeaseOver.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(), "born_unix_ms", s.incarnation.StartedUnixMs(),
+		"silent_ms", (now - s.lastAnswerAt).Milliseconds(), "leased_ms", (now - s.leaseSentAt).Milliseconds(),
+		"has_clock", s.hasClock, "known_ms", (now - s.createdAt).Milliseconds(), "runs", runs, "uncertain_starts", uncertain)
+}
+
 // runResult is how a run has ended. The reason is for logs and metrics.
 type runResult struct {
 	outcome    wire.RunOutcome
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -44,6 +44,8 @@
 	// RestartUnconfirmed is logged for each report of a restart that the worker does not confirm.
 	RestartUnconfirmed = define(2111, slog.LevelWarn, "worker does not confirm a report that it has started again")
 	ReportRefused      = define(2112, slog.LevelWarn, "report of a worker cannot be used")
+	LeaseOver          = define(2113, slog.LevelWarn, "lease of a silent worker is over; its runs are placed anew")
+	OtherIncarnation   = define(2114, slog.LevelWarn, "another incarnation of the worker answered an order")
 	WorkerDraining     = define(2108, slog.LevelInfo, "worker is draining; it gets no new runs")
 	JobAccepted        = define(2401, slog.LevelInfo, "submitted job stored")
 	JobTurnedAway      = define(2402, slog.LevelInfo, "submitted job turned away; it never runs")
