controller: reproduce orders that reach a later incarnation, failing

The fake workers have a clock of their own that begins anywhere at each start, cut leases to the longest one that they accept, and may be silent; orders wait for simulated time. Workers start again under their old names and are cut off soon after, while leaders are killed in one case.

--- a/controld/internal/controller/restart_test.go
+++ b/controld/internal/controller/restart_test.go
@@ -11,14 +11,17 @@
 	"flamingodrift.example/core/wire"
 )
 
-// restart ends what a worker runs and begins a new incarnation of it, which knows nothing of the former one.
+// restart ends what a worker runs and begins a new incarnation of it, which knows nothing of the former one. Its clock
+// begins anywhere.
 func (f *fakeFleet) restart(name string) {
 	w := f.workers[name]
+	f.forgetEnds(w)
 	for k := range w.runs {
 		delete(f.running, k)
 	}
 	f.workers[name] = &fakeWorker{
 		born: w.born + 1, runs: map[executor.Run]fakeRun{}, lastEndedRun: map[executor.Run]int{},
+		startedAt: f.group.now - time.Duration(f.rand.Int64N(int64(2*time.Hour))), slowness: w.slowness,
 	}
 }
 
