scheduler: orders for a former incarnation may be taken by the next one

Cause: nothing in an order names the incarnation that it is for, and the end of the lease in it is a time on that incarnation's clock. The next one, whose clock begins anywhere, takes the order and cuts the lease to the longest one that it accepts, 6 s or 10 s; the leader counts 4.5 s. - A restarted worker: an order for the former incarnation, also a rejected start, has extended the lease before the leader knew of the new one. - A worker whose restart is not confirmed: the start itself was taken by the new incarnation, and the run counted as over with the former one's lease.

Their lease is counted as the longest accepted one from their first answer to a leader, which shuts older orders out. - A start that this incarnation has not answered, or that was answered on a clock that can't be its own, may run in a later one. On a silent worker such a run is placed anew only when the longest lease is over since the last order that could extend it; not if the incarnation answered later. - A worker that seems to have started again gets no starts, also those that are decided already, and no lease, until it answers or is registered. - Any answer of the reported incarnation confirms a restart, not only that to the question; before, a broken connection delayed it to the next report.

TestSilentWorkerIsNoCrash left its start without any answer for ever, which no caller of the scheduler does; it answers it now and checks the same.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -310,16 +310,18 @@
 // ignores a report of an earlier incarnation.
 func (b *Batch) registerIncarnation(report *wire.WorkerLife, effect *Effect) {
 	b.confirmCrashes(report)
-	present := b.incarnations[report.GetWorker()]
+	present, restarted := b.incarnations[report.GetWorker()], false
 	if present != nil && present.startedUnixMs != report.GetBornUnixMs() {
 		if report.GetBornUnixMs() < present.startedUnixMs {
 			return
 		}
 		b.endIncarnation(&wire.WorkerLife{Worker: present.worker, BornUnixMs: present.startedUnixMs}, effect)
-		present = nil
+		present, restarted = nil, true
 	}
 	if present == nil {
-		b.incarnations[report.GetWorker()] = newIncarnation(report)
+		inc := newIncarnation(report)
+		inc.restarted = restarted
+		b.incarnations[report.GetWorker()] = inc
 		return
 	}
 	if !present.IsOutdated(report) {
--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -16,6 +16,8 @@
 	capacity      resource.Vector
 	used          resource.Vector
 	draining      bool
+	// restarted is set if an earlier incarnation of the worker was known when this one was registered.
+	restarted bool
 	// tasks holds the tasks whose runs occupy resources here. The value says whether the queue had priority 0 when the
 	// run was placed; a newer configuration may change the priority.
 	tasks map[*Task]bool
@@ -85,6 +87,10 @@
 // StartedUnixMs returns when the incarnation began, by the worker's own clock.
 func (inc *Incarnation) StartedUnixMs() int64 { return inc.startedUnixMs }
 
+// Restarted reports whether the incarnation replaced an earlier one of the worker. Orders for the earlier one may have
+// reached this one.
+func (inc *Incarnation) Restarted() bool { return inc.restarted }
+
 // Report returns the worker's newest report about itself.
 func (inc *Incarnation) Report() *wire.WorkerLife { return inc.report }
 
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -26,6 +26,9 @@
 			}
 		}
 		state.Workers = append(state.Workers, report)
+		if b.incarnations[worker].restarted {
+			state.RestartedWorkers = append(state.RestartedWorkers, worker)
+		}
 	}
 	for _, j := range b.jobs {
 		state.Jobs = append(state.Jobs, j.state())
@@ -78,6 +81,11 @@
 	for _, report := range state.GetWorkers() {
 		b.incarnations[report.GetWorker()] = newIncarnation(report)
 	}
+	for _, worker := range state.GetRestartedWorkers() {
+		if inc := b.incarnations[worker]; inc != nil {
+			inc.restarted = true
+		}
+	}
 	for _, s := range state.GetJobs() {
 		j := newJob(s.GetJob(), b.queues[s.GetJob().GetQueue()], s.GetOrder())
 		j.phase = s.GetPhase()
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -181,6 +181,7 @@
 		h.advance(probeTime)
 		h.advance(time.Millisecond)
 		require.NotNil(t, task.Incarnation())
+		h.Started(h.takeStart(), h.answer(executor.Done), h.now)
 		for range 60 {
 			h.advance(100 * time.Millisecond)
 			for _, o := range h.work.Renewals {
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -21,40 +21,64 @@
 	incarnation := t.Incarnation()
 	s := sc.sessionFor(incarnation, now)
 	r := &run{number: t.Run(), startUnanswered: true, startedAt: now, progressAt: now, checkpoint: t.Checkpoint()}
-	r.startDeadline = sc.leaseEnd(s, now, sc.cfg.StartLease)
 	s.runs[t] = r
+	if !s.reachable() {
+		sc.endRun(s, t, r, cutShort(r.checkpoint, executor.NotSent.String()), now)
+		return
+	}
+	r.startDeadline = sc.leaseEnd(s, now, sc.cfg.StartLease)
 	s.lastStartAt = now
 	if isolationOf(t) != notIsolated {
 		s.probeUntil = now + probeTime
 	}
-	s.extendLease(r.startDeadline, now)
 	order := executor.Start{
 		Run: runID(t, r.number), Spec: t.Step().Job().Spec().GetSpec(), Token: s.token, Until: r.startDeadline,
 		Checkpoint: t.Checkpoint(), Ticket: sc.validTicket(t.Step(), incarnation, now),
 	}
-	sc.pendingWork.Starts = append(sc.pendingWork.Starts, StartOrder{
+	sc.sendStart(s, r, StartOrder{
 		To: address(incarnation), Incarnation: incarnation, Task: t, Order: order, SentAt: now,
 	})
 }
 
+func (sc *Scheduler) sendStart(s *session, r *run, o StartOrder) {
+	s.extendLease(o.Order.Until, o.SentAt)
+	s.openLeaseOrders++
+	r.openStarts++
+	sc.pendingWork.Starts = append(sc.pendingWork.Starts, o)
+}
+
 // Started handles a worker's answer to a start order.
 func (sc *Scheduler) Started(o StartOrder, answer executor.Answer, now time.Duration) {
 	s := sc.currentSession(o.Incarnation)
 	if s == nil {
 		return
 	}
+	ownAnswer := answer.HasClock && sc.isOwnClock(s, answer.Clock, o.SentAt, now)
+	s.leaseOrderEnded(!ownAnswer && answer.Status != executor.NotSent, now)
 	r := s.runs[o.Task]
-	if r == nil || r.number != o.Order.Run.Run || r.endQueued {
+	if r == nil || r.number != o.Order.Run.Run {
 		return
 	}
-	if answer.HasClock && answer.Status != executor.OtherIncarnation {
-		if least := sc.leastClock(s, o.SentAt); s.hasClock && answer.Clock < least {
-			logger.OtherIncarnation.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
-				"born_unix_ms", s.incarnation.StartedUnixMs(), "order", "start", "job", o.Order.Run.Job, "step", o.Order.Run.Step,
-				"index", o.Order.Run.Index, "run", o.Order.Run.Run, "verdict", answer.Status.String(),
-				"clock_ms", answer.Clock.Milliseconds(), "least_clock_ms", least.Milliseconds())
-		}
+	r.openStarts--
+	if !ownAnswer && (answer.Status == executor.Done || answer.Status == executor.Unknown) {
+		r.uncertainStartAt = now
+	}
+	if r.endQueued {
+		return
+	}
+	switch {
+	case ownAnswer:
 		s.latestClock = max(s.latestClock, answer.Clock)
+	case answer.HasClock && answer.Status != executor.OtherIncarnation:
+		logger.OtherIncarnation.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
+			"born_unix_ms", s.incarnation.StartedUnixMs(), "order", "start", "job", o.Order.Run.Job, "step", o.Order.Run.Step,
+			"index", o.Order.Run.Index, "run", o.Order.Run.Run, "verdict", answer.Status.String(),
+			"clock_ms", answer.Clock.Milliseconds(), "own_clock_ms", (s.clock + now - s.clockAt).Milliseconds())
+		s.suspectRestart(now)
+		if answer.Status == executor.Done {
+			return
+		}
+	default:
 	}
 	status := answer.Status
 	if status != executor.Done && r.startResends > 0 {
@@ -85,15 +109,14 @@
 	if r.confirmed || r.stopping {
 		return
 	}
-	if r.startResends >= maxStartResends || s.unreachable {
+	if r.startResends >= maxStartResends || !s.reachable() {
 		sc.stopRun(s, o.Task, r, now)
 		return
 	}
 	r.startResends++
 	r.startDeadline = sc.leaseEnd(s, now, sc.cfg.StartLease)
-	s.extendLease(r.startDeadline, now)
 	o.Order.Until, o.SentAt = r.startDeadline, now
-	sc.pendingWork.Starts = append(sc.pendingWork.Starts, o)
+	sc.sendStart(s, r, o)
 }
 
 func (sc *Scheduler) stopRun(s *session, t *batch.Task, r *run, now time.Duration) {
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -26,8 +26,12 @@
 		return
 	}
 	s.renewing = false
-	if answer.Status != executor.Done ||
-		report.StartedUnixMs != 0 && report.StartedUnixMs != s.incarnation.StartedUnixMs() {
+	ownAnswer := answer.Status == executor.Done &&
+		(report.StartedUnixMs == 0 || report.StartedUnixMs == s.incarnation.StartedUnixMs())
+	if o.Order.Until > 0 {
+		s.leaseOrderEnded(!ownAnswer && answer.Status != executor.NotSent, now)
+	}
+	if !ownAnswer {
 		s.renewAt = now + renewRetryDelay
 		if answer.Status == executor.Done && s.answeredUnixMs != report.StartedUnixMs {
 			s.answeredUnixMs = report.StartedUnixMs
@@ -35,6 +39,10 @@
 				"born_unix_ms", s.incarnation.StartedUnixMs(), "order", "renewal", "extends_lease", o.Order.Until > 0,
 				"answered_born_unix_ms", report.StartedUnixMs, "clock_ms", answer.Clock.Milliseconds())
 		}
+		if answer.Status == executor.Done {
+			s.suspectRestart(now)
+			sc.acceptRestart(s)
+		}
 		if answer.Status == executor.OtherIncarnation {
 			sc.recordOtherIncarnation(s, now)
 		}
@@ -55,10 +63,20 @@
 	if !s.hasAnswered {
 		sc.changed = true
 	}
+	if !s.hasClock && s.incarnation.Restarted() {
+		// Until it saw the token of this order, the incarnation may have taken orders for an earlier one. Their lease ends on
+		// another clock.
+		s.leaseUntil = max(s.leaseUntil, answer.Clock+sc.cfg.LongestLease)
+	}
 	s.hasAnswered, s.unreachable = true, false
 	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
 	s.latestClock = max(s.latestClock, answer.Clock)
 	s.lastAnswerAt, s.lastHeardAt, s.renewAt = now, now, now
+	s.leaseCrashes = nil
+	s.aliveAt = max(s.aliveAt, o.SentAt)
+	if o.SentAt > s.restartSuspectedAt {
+		s.refuteRestart()
+	}
 	if sc.batch.HasUnconfirmedCrash(s.incarnation) {
 		sc.returned[s.incarnation] = true
 	}
@@ -197,7 +215,7 @@
 			continue
 		}
 		s := sc.currentSession(t.Incarnation())
-		if s == nil || s.unreachable || s.runs[t] == nil || !s.runs[t].confirmed {
+		if s == nil || !s.reachable() || s.runs[t] == nil || !s.runs[t].confirmed {
 			return true
 		}
 	}
--- a/controld/internal/scheduler/restart.go
+++ b/controld/internal/scheduler/restart.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"flamingodrift.example/controld/internal/batch"
@@ -12,7 +13,9 @@
 // confirmRestart asks a worker whether it has started again, as a report says that came from anywhere. Until it confirms
 // that, the runs of its present incarnation may be at work.
 func (sc *Scheduler) confirmRestart(s *session, report *wire.WorkerLife, now time.Duration) {
-	if s.confirming == report.GetBornUnixMs() {
+	s.suspectRestart(now)
+	s.restartReport = report
+	if sc.acceptRestart(s) || s.confirming == report.GetBornUnixMs() {
 		return
 	}
 	s.confirming = report.GetBornUnixMs()
@@ -27,21 +30,35 @@
 	if s.confirming == o.Restart.GetBornUnixMs() {
 		s.confirming = 0
 	}
+	if answer.Status == executor.Done && report.StartedUnixMs == s.incarnation.StartedUnixMs() {
+		s.refuteRestart()
+	}
 	if answer.Status != executor.Done || report.StartedUnixMs != o.Restart.GetBornUnixMs() {
 		logger.RestartUnconfirmed.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(),
 			"born_unix_ms", s.incarnation.StartedUnixMs(), "reported_born_unix_ms", o.Restart.GetBornUnixMs(),
 			"answered_born_unix_ms", report.StartedUnixMs, "address", o.To.HostPort, "verdict", answer.Status.String())
 		return
 	}
-	sc.restarted = append(sc.restarted, o.Restart)
+	s.answeredUnixMs = report.StartedUnixMs
+	sc.acceptRestart(s)
+}
+
+// acceptRestart queues the registration of a worker that has started again, if it has reported that and answered an order.
+func (sc *Scheduler) acceptRestart(s *session) bool {
+	if s.restartReport == nil || s.restartReport.GetBornUnixMs() != s.answeredUnixMs {
+		return false
+	}
+	sc.restarted = append(sc.restarted, s.restartReport)
 	sc.changed = true
+	return true
 }
 
 // registerRestarted adds the workers that have started again to a command, and the ends of what they ran before.
 func (sc *Scheduler) registerRestarted(command *wire.QueueCommand, now time.Duration) {
 	for _, report := range sc.restarted {
 		incarnation := sc.batch.Incarnation(report.GetWorker())
-		if incarnation == nil || incarnation.StartedUnixMs() >= report.GetBornUnixMs() {
+		if incarnation == nil || incarnation.StartedUnixMs() >= report.GetBornUnixMs() ||
+			slices.Contains(command.GetWorkers(), report) {
 			continue
 		}
 		command.Ends = append(command.Ends, sc.crashEnds(sc.sessionFor(incarnation, now), now)...)
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -140,7 +140,8 @@
 	Incarnation *batch.Incarnation
 	Task        *batch.Task
 	Order       executor.Start
-	SentAt      time.Duration
+	// SentAt is when the order was decided.
+	SentAt time.Duration
 }
 
 // StopOrder is a stop order for one incarnation of a worker.
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -27,9 +27,18 @@
 	// hasAnswered is set once the worker has answered an order of this term. From then on it rejects orders of earlier
 	// terms.
 	hasAnswered bool
-	// leaseUntil is the latest lease end that this leader has sent, on the worker's clock, and leaseSentAt is when.
+	// leaseUntil is the latest end of the lease that the incarnation may have received, on its clock. leaseSentAt is when
+	// this leader last extended the lease.
 	leaseUntil  time.Duration
 	leaseSentAt time.Duration
+	// openLeaseOrders is the number of unanswered orders that extend the lease. uncertainLeaseAt is when the latest of them
+	// ended without an answer of this incarnation: it may have reached a later one.
+	openLeaseOrders  int
+	uncertainLeaseAt time.Duration
+	// aliveAt is the latest time at which the incarnation certainly existed.
+	aliveAt time.Duration
+	// leaseCrashes holds the crash for each run that may have caused it once the lease is over, and is nil before.
+	leaseCrashes map[*batch.Task]*wire.WorkerCrash
 	// renewing is set while a renewal is unanswered.
 	renewing     bool
 	renewAt      time.Duration
@@ -70,6 +79,10 @@
 	confirming int64
 	// answeredUnixMs is the start time of the other incarnation that has answered a renewal; 0 if none has.
 	answeredUnixMs int64
+	// restartSuspectedAt is when the worker seemed to have started again; 0 if it does not. The lease is not renewed then,
+	// and nothing is started. restartReport is the newest report that says so, or nil.
+	restartSuspectedAt time.Duration
+	restartReport      *wire.WorkerLife
 	// replaced is set once another worker has answered at the address: this one has crashed.
 	replaced bool
 	// removalQueued is set once the removal of the incarnation was queued for the log.
@@ -96,6 +109,10 @@
 	// order may still arrive.
 	startDeadline   time.Duration
 	startUnanswered bool
+	// openStarts is the number of start orders in progress. uncertainStartAt is when the latest start order ended without
+	// an answer of this incarnation: it may have reached a later one.
+	openStarts       int
+	uncertainStartAt time.Duration
 	// startResends is how often an unanswered start was resent.
 	startResends int
 	startedAt    time.Duration
@@ -153,8 +170,13 @@
 		runs: map[*batch.Task]*run{},
 	}
 	for t := range incarnation.Tasks() {
-		s.runs[t] = &run{number: t.Run(), inherited: true, startUnanswered: true, startedAt: now, progressAt: now}
+		s.runs[t] = &run{
+			number: t.Run(), inherited: true, startUnanswered: true, startedAt: now, progressAt: now,
+			uncertainStartAt: now + sc.cfg.AnswerTimeout,
+		}
 	}
+	// Orders of an earlier leader may still arrive.
+	s.uncertainLeaseAt = now + sc.cfg.AnswerTimeout
 	sc.sessions[incarnation.Worker()] = s
 	return s
 }
@@ -169,12 +191,14 @@
 	return s.clock + elapsed*time.Duration(100-sc.cfg.ClockDriftPercent)/100
 }
 
-// leastClock returns a lower bound of the worker's clock at a time that may lie before its last answer.
-func (sc *Scheduler) leastClock(s *session, at time.Duration) time.Duration {
-	if at < s.clockAt {
-		return s.clock - (s.clockAt - at)
+// isOwnClock reports whether the reading of a clock in the answer to an order may be that of the session's incarnation. A
+// later incarnation's clock begins anywhere.
+func (sc *Scheduler) isOwnClock(s *session, clock, sentAt, now time.Duration) bool {
+	least, most := sc.minWorkerTime(s, sentAt), s.clock+now-s.clockAt+sc.cfg.AnswerTimeout
+	if sentAt < s.clockAt {
+		least = s.clock - (s.clockAt - sentAt)
 	}
-	return sc.minWorkerTime(s, at)
+	return clock >= least && clock <= most
 }
 
 // leaseEnd returns the end of a lease on the worker's clock.
@@ -223,7 +247,7 @@
 
 // usable reports whether new runs may be placed on a worker.
 func (sc *Scheduler) usable(s *session, now time.Duration) bool {
-	return s.hasAnswered && len(s.unknownRuns) == 0 && !s.incarnation.Draining() && !s.unreachable &&
+	return s.hasAnswered && len(s.unknownRuns) == 0 && !s.incarnation.Draining() && s.reachable() &&
 		now >= s.pausedUntil && now-s.lastAnswerAt < sc.cfg.RenewWait+sc.cfg.AnswerTimeout && !sc.reportOverdue(s, now)
 }
 
@@ -253,7 +277,8 @@
 			sc.removeWorker(s)
 			continue
 		}
-		if now-s.lastHeardAt > silentWorkerTimeout && now-s.lastAnswerAt > silentWorkerTimeout && sc.leaseExpired(s, now) {
+		if now-s.lastHeardAt > silentWorkerTimeout && now-s.lastAnswerAt > silentWorkerTimeout && sc.leaseExpired(s, now) &&
+			len(incarnation.Tasks()) == 0 {
 			s.lastHeardAt = now
 			logger.WorkerLost.Log(sc.cfg.Logger, "worker", incarnation.Worker(),
 				"silent_ms", (now - s.lastAnswerAt).Milliseconds())
@@ -269,13 +294,14 @@
 	if now-s.lastAnswerAt <= ackWindow {
 		order.AckedEnd = s.committedEnd
 	}
-	if s.hasClock && !s.unreachable && s.leavingSince == 0 {
+	if s.hasClock && s.reachable() && s.leavingSince == 0 {
 		// The lease of a worker that receives orders but whose answers are lost must not be renewed, or it would never end,
 		// nor that of a worker that may end without another word.
 		order.Until = sc.leaseEnd(s, now, sc.cfg.Lease)
 		s.extendLease(order.Until, now)
+		s.openLeaseOrders++
 	}
-	if !s.hasAnswered || s.unreachable {
+	if !s.hasAnswered || !s.reachable() {
 		order.Wait = 0
 	}
 	s.renewing = true
@@ -284,6 +310,26 @@
 	})
 }
 
+// reachable reports whether the incarnation answers, as far as is known.
+func (s *session) reachable() bool { return !s.unreachable && s.restartSuspectedAt == 0 }
+
+// suspectRestart records that the worker seems to have started again.
+func (s *session) suspectRestart(now time.Duration) {
+	s.restartSuspectedAt = max(now, 1)
+}
+
+// refuteRestart records that the incarnation has answered an order that was sent after the suspicion.
+func (s *session) refuteRestart() { s.restartSuspectedAt, s.restartReport = 0, nil }
+
+// leaseOrderEnded records the end of an order that extends the lease. It is uncertain without an answer of this
+// incarnation: a later one may have taken it.
+func (s *session) leaseOrderEnded(uncertain bool, now time.Duration) {
+	s.openLeaseOrders--
+	if uncertain {
+		s.uncertainLeaseAt = max(s.uncertainLeaseAt, now)
+	}
+}
+
 // extendLease records that an order extends the lease of the worker.
 func (s *session) extendLease(until, now time.Duration) {
 	s.leaseUntil, s.leaseSentAt = max(s.leaseUntil, until), now
@@ -294,12 +340,25 @@
 	if !s.hasClock {
 		// An earlier leader may have renewed the lease until this one took over. An order for an earlier incarnation may also
 		// have reached this one, whose clock started anew; then the lease may be the longest that the worker accepts.
-		longest := sc.cfg.LongestLease * 100 / time.Duration(100-sc.cfg.ClockDriftPercent)
-		return now-s.createdAt > longest+sc.cfg.AnswerTimeout
+		return now-s.createdAt > sc.longestLease()+sc.cfg.AnswerTimeout
 	}
 	return !s.renewing && sc.minWorkerTime(s, now) > s.leaseUntil && sc.minWorkerTime(s, now) > sc.inheritedLeaseEnd(s)
 }
 
+// longestLease returns how long the longest lease that a worker accepts may last after its order has arrived.
+func (sc *Scheduler) longestLease() time.Duration {
+	return sc.cfg.LongestLease * 100 / time.Duration(100-sc.cfg.ClockDriftPercent)
+}
+
+// mayRunElsewhere reports whether a run of a silent worker may be at work in a later incarnation, which may have taken its
+// start order. The end of the lease in an order means nothing there: the clock of the later incarnation begins anywhere.
+func (sc *Scheduler) mayRunElsewhere(s *session, r *run, now time.Duration) bool {
+	if r.openStarts == 0 && r.uncertainStartAt <= s.aliveAt {
+		return false
+	}
+	return s.openLeaseOrders > 0 || now-s.uncertainLeaseAt <= sc.longestLease()
+}
+
 // lastRunOver reports whether the newest run of a task is neither running nor able to start any more. While the worker
 // that had it has a new incarnation that has not answered yet, the start may have reached that incarnation.
 func (sc *Scheduler) lastRunOver(t *batch.Task, now time.Duration) bool {
@@ -328,18 +387,17 @@
 		return
 	}
 	expired := now-s.lastAnswerAt > sc.cfg.RenewWait && sc.leaseExpired(s, now)
-	var crashes map[*batch.Task]*wire.WorkerCrash
-	if expired {
-		crashes = sc.suspects(s, false)
+	if expired && s.leaseCrashes == nil {
+		s.leaseCrashes = sc.suspects(s, false)
 		sc.logLeaseOver(s, now)
 	}
 	for t, r := range s.runs {
 		if r.endQueued {
 			continue
 		}
-		if expired {
+		if expired && !sc.mayRunElsewhere(s, r, now) {
 			result := cutShort(r.checkpoint, "lease_over")
-			result.crash = crashes[t]
+			result.crash = s.leaseCrashes[t]
 			sc.endRun(s, t, r, result, now)
 			continue
 		}
@@ -357,7 +415,7 @@
 			continue
 		}
 		runs++
-		if r.startUnanswered {
+		if sc.mayRunElsewhere(s, r, now) {
 			uncertain++
 		}
 	}
--- a/controld/internal/scheduler/state.go
+++ b/controld/internal/scheduler/state.go
@@ -55,7 +55,7 @@
 		return WorkerNotReported
 	case incarnation.Draining():
 		return WorkerDraining
-	case s.unreachable || now-s.lastAnswerAt >= sc.cfg.RenewWait+sc.cfg.AnswerTimeout:
+	case !s.reachable() || now-s.lastAnswerAt >= sc.cfg.RenewWait+sc.cfg.AnswerTimeout:
 		return WorkerSilent
 	case sc.reportOverdue(s, now):
 		return WorkerReportOverdue
