scheduler: an order on a connection to an incarnation can't reach the next one

Cause: since each start without an answer counted as perhaps taken by a later incarnation of the worker, and its task waited for the longest lease, 6 s or 10 s, instead of 4.5 s. On workers that are only cut off these are the starts of the last 1.4 s.

Change: the client says how old the connection was on which an unanswered order was sent. One that was open while the incarnation answered ends with it, so the order has reached no other.

Ruled out: trusting the clock in the answer alone; there is none here.

Evidence: TestStartMayRunInLaterIncarnation, the case of a connection to the incarnation, fails without the change; TestRestartedWorkersRunNoTaskTwice with such connections held in 300 plays.

--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -60,6 +60,8 @@
 	// startedAt is when the worker's clock showed 0, and slowness by how much it is slower than the true time.
 	startedAt time.Duration
 	slowness  float64
+	// beganAt is when the incarnation began.
+	beganAt time.Duration
 	// silentUntil is until when no order reaches the worker.
 	silentUntil time.Duration
 	// brokenConnections is how many open connections of the leader ended with the former incarnation. The next order on
@@ -181,8 +183,8 @@
 // withFaults carries an order out by calling execute, except that it loses those to a silent worker, and loses or delays
 // a lossRate fraction of orders and answers.
 func (f *fakeFleet) withFaults(name string, timeout time.Duration, execute func() executor.Answer) executor.Answer {
-	if status := f.reach(name, timeout); status != executor.Done {
-		return executor.Answer{Status: status}
+	if answer := f.reach(name, timeout); answer.Status != executor.Done {
+		return answer
 	}
 	if f.rand.Float64() >= f.lossRate {
 		return execute()
--- a/controld/internal/controller/restart_test.go
+++ b/controld/internal/controller/restart_test.go
@@ -21,7 +21,7 @@
 	}
 	f.workers[name] = &fakeWorker{
 		born: w.born + 1, runs: map[executor.Run]fakeRun{}, lastEndedRun: map[executor.Run]int{},
-		startedAt: f.group.now - time.Duration(f.rand.Int64N(int64(2*time.Hour))), slowness: w.slowness,
+		startedAt: f.group.now - time.Duration(f.rand.Int64N(int64(2*time.Hour))), slowness: w.slowness, beganAt: f.group.now,
 	}
 }
 
--- a/controld/internal/controller/waiting_calls_test.go
+++ b/controld/internal/controller/waiting_calls_test.go
@@ -54,24 +54,34 @@
 	}
 }
 
-// reach waits until an order reaches a worker and returns Done, or returns why it did not.
-func (f *fakeFleet) reach(name string, timeout time.Duration) executor.Status {
+// reach waits until an order reaches a worker and returns Done, or returns the answer to an order that did not. It is
+// sent on an open connection, which ends with the incarnation of the worker, or on a new one.
+func (f *fakeFleet) reach(name string, timeout time.Duration) executor.Answer {
 	if f.yielded == nil {
-		return executor.Done
+		return executor.Answer{Status: executor.Done}
+	}
+	sentAt, sentTo := f.group.now, f.workers[name]
+	onNewConnection := sentTo.brokenConnections == 0 && f.rand.IntN(2) == 0
+	openedAt := max(sentTo.beganAt, sentAt-time.Duration(f.rand.Int64N(int64(2*time.Second))))
+	if sentTo.brokenConnections > 0 {
+		openedAt = sentTo.beganAt - time.Second
 	}
-	sentAt, onNewConnection := f.group.now, f.rand.IntN(2) == 0
 	for {
-		w := f.workers[name]
+		w, now := f.workers[name], f.group.now
+		lost := executor.Answer{Status: executor.Unknown}
+		if !onNewConnection {
+			lost.ConnectedFor = now - openedAt
+		}
 		switch {
-		case f.group.now >= w.silentUntil && w.brokenConnections > 0 && !onNewConnection:
-			w.brokenConnections--
-			return executor.Unknown
-		case f.group.now >= w.silentUntil:
-			return executor.Done
-		case onNewConnection && f.group.now-sentAt >= dialTimeout:
-			return executor.NotSent
-		case f.group.now-sentAt >= timeout:
-			return executor.Unknown
+		case now >= w.silentUntil && !onNewConnection && (w != sentTo || w.brokenConnections > 0):
+			w.brokenConnections = max(0, w.brokenConnections-1)
+			return lost
+		case now >= w.silentUntil:
+			return executor.Answer{Status: executor.Done}
+		case onNewConnection && now-sentAt >= dialTimeout:
+			return executor.Answer{Status: executor.NotSent}
+		case now-sentAt >= timeout:
+			return lost
 		}
 		f.wait(testTick)
 	}
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -54,13 +54,14 @@
 		return
 	}
 	ownAnswer := answer.HasClock && sc.isOwnClock(s, answer.Clock, o.SentAt, now)
-	s.leaseOrderEnded(!ownAnswer && answer.Status != executor.NotSent, now)
+	uncertain := !ownAnswer && s.mayHaveReachedOther(answer, now)
+	s.leaseOrderEnded(uncertain, now)
 	r := s.runs[o.Task]
 	if r == nil || r.number != o.Order.Run.Run {
 		return
 	}
 	r.openStarts--
-	if !ownAnswer && (answer.Status == executor.Done || answer.Status == executor.Unknown) {
+	if uncertain && (answer.Status == executor.Done || answer.Status == executor.Unknown) {
 		r.uncertainStartAt = now
 	}
 	if r.endQueued {
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -29,7 +29,7 @@
 	ownAnswer := answer.Status == executor.Done &&
 		(report.StartedUnixMs == 0 || report.StartedUnixMs == s.incarnation.StartedUnixMs())
 	if o.Order.Until > 0 {
-		s.leaseOrderEnded(!ownAnswer && answer.Status != executor.NotSent, now)
+		s.leaseOrderEnded(!ownAnswer && s.mayHaveReachedOther(answer, now), now)
 	}
 	if !ownAnswer {
 		s.renewAt = now + renewRetryDelay
--- a/controld/internal/scheduler/restart_test.go
+++ b/controld/internal/scheduler/restart_test.go
@@ -33,7 +33,8 @@
 		}
 		for _, o := range h.takeStarts() {
 			if o.Incarnation.Worker() == worker {
-				h.Started(o, executor.Answer{}, h.now)
+				// A connection of that age can't lead to a later incarnation.
+				h.Started(o, executor.Answer{ConnectedFor: time.Hour}, h.now)
 			}
 		}
 		h.advance(sessionCheckInterval)
@@ -121,6 +122,12 @@
 	}{
 		{"answered by the incarnation", func(h *harness) executor.Answer { return h.answer(executor.Done) }, false},
 		{"no answer", func(*harness) executor.Answer { return executor.Answer{} }, true},
+		{"no answer on a new connection", func(*harness) executor.Answer {
+			return executor.Answer{ConnectedFor: 50 * time.Millisecond}
+		}, true},
+		{"no answer on a connection to the incarnation", func(*harness) executor.Answer {
+			return executor.Answer{ConnectedFor: time.Second}
+		}, false},
 		{"answered on a clock that is behind", func(h *harness) executor.Answer {
 			return executor.Answer{Status: executor.Done, Clock: h.now + workerClockOffset - time.Minute, HasClock: true}
 		}, true},
@@ -137,7 +144,6 @@
 			o := h.takeStart()
 			h.advance(100 * time.Millisecond)
 			h.Started(o, test.answer(h), h.now)
-			require.Equal(t, test.uncertain, !h.sessions[o.Incarnation.Worker()].runs[h.task()].confirmed)
 			waited := h.cutOff(o.Incarnation.Worker())
 			if test.uncertain {
 				require.Greater(t, waited, testSlowestLease, "the later incarnation may still run it")
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -330,6 +330,12 @@
 	}
 }
 
+// mayHaveReachedOther reports whether an order that ended without an answer of this incarnation may have reached a later
+// one. A connection that was established while this incarnation existed ends with it.
+func (s *session) mayHaveReachedOther(answer executor.Answer, now time.Duration) bool {
+	return answer.Status != executor.NotSent && (answer.ConnectedFor == 0 || now-answer.ConnectedFor > s.aliveAt)
+}
+
 // extendLease records that an order extends the lease of the worker.
 func (s *session) extendLease(until, now time.Duration) {
 	s.leaseUntil, s.leaseSentAt = max(s.leaseUntil, until), now
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -119,6 +119,9 @@
 	// Clock is the reading of the worker's clock; valid only if HasClock is set.
 	Clock    time.Duration
 	HasClock bool
+	// ConnectedFor is how long before the end of the order the connection was established on which it was sent; 0 if
+	// that is not known. It is only set if there was no answer.
+	ConnectedFor time.Duration
 }
 
 // Report lists a worker's current and ended runs.
