soak: workers that restart and are cut off, connections that end, long tasks

Now one job in forty has tasks of 7 s, a new fault restarts a worker and cuts it off for 7 s soon after, and the connections of a worker end with its incarnation. No check changes.

--- a/standin/internal/soaker/faults.go
+++ b/standin/internal/soaker/faults.go
@@ -77,9 +77,14 @@
 		s.setOrderLoss(worker, 0)
 	}},
 	{"worker restarts", 2, func(s *Soaker, _ context.Context, _ time.Duration, _, _, worker int) {
-		s.fleet.mu.Lock()
-		defer s.fleet.mu.Unlock()
-		s.fleet.workers[worker].reset(time.Now())
+		s.fleet.restart(worker)
+	}},
+	{"worker restarts and is cut off", 2, func(s *Soaker, ctx context.Context, duration time.Duration, _, _, worker int) {
+		s.fleet.restart(worker)
+		pause(ctx, duration/4)
+		s.setOrderLoss(worker, 1)
+		pause(ctx, cutOffTime)
+		s.setOrderLoss(worker, 0)
 	}},
 }
 
@@ -89,6 +94,8 @@
 	minFaultInterval = 200 * time.Millisecond
 	maxFaultInterval = 1500 * time.Millisecond
 	diskRepairTime   = 6 * time.Second
+	// cutOffTime is longer than the lease that a leader asks for.
+	cutOffTime = 7 * time.Second
 )
 
 // injectFaults injects faults drawn from the seeded generator for the configured length, and then waits for those in
@@ -136,7 +143,7 @@
 	switch name {
 	case "kill front", "stop front":
 		return "front"
-	case "worker loses orders", "worker is silent", "worker restarts":
+	case "worker loses orders", "worker is silent", "worker restarts", "worker restarts and is cut off":
 		return "worker"
 	case "partition control", "partition control one way", "send SIGHUP":
 		return "link"
--- a/standin/internal/soaker/fleet.go
+++ b/standin/internal/soaker/fleet.go
@@ -20,6 +20,9 @@
 	workerPort       = 8000
 	maxRunsPerWorker = 3
 	taskDuration     = 300 * time.Millisecond
+	// One job in longJobInterval has tasks that take longTaskDuration, longer than the lease that a leader asks for.
+	longJobInterval  = 40
+	longTaskDuration = 7 * time.Second
 	stopDuration     = 50 * time.Millisecond
 	maxLease         = 10 * time.Second
 	fleetTick        = 10 * time.Millisecond
@@ -81,6 +84,8 @@
 	lastEnd uint64
 	// orderLoss is the share of orders that get no answer, 0 to 1.
 	orderLoss float64
+	// connections holds the open connections, which end with the incarnation.
+	connections *connectionSet
 }
 
 type fleetRun struct {
@@ -99,12 +104,15 @@
 	}
 	for i := range count {
 		w := &worker{fleet: f, name: fmt.Sprintf("i-%04d", i), address: fmt.Sprintf("%s.%d:%d", subnet, 101+i, workerPort)}
+		w.connections = newConnectionSet()
 		w.reset(time.Now())
 		listener, err := net.Listen("tcp", w.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen for worker %s: %w", w.name, err)
 		}
-		w.server = &http.Server{Handler: workerserver.New(w), ReadHeaderTimeout: time.Second}
+		w.server = &http.Server{
+			Handler: workerserver.New(w), ReadHeaderTimeout: time.Second, ConnState: w.connections.track,
+		}
 		go func() { _ = w.server.Serve(listener) }()
 		f.workers = append(f.workers, w)
 	}
@@ -152,8 +160,9 @@
 		fmt.Sprintf("%.3f s: ", time.Since(f.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// reset begins a new incarnation, which has no state of the previous one.
+// reset begins a new incarnation, which has no state of the previous one. The connections end with the process.
 func (w *worker) reset(now time.Time) {
+	w.connections.closeAll()
 	for k := range w.runs {
 		w.fleet.running[k]--
 	}
@@ -170,6 +179,13 @@
 	}
 }
 
+// restart begins a new incarnation of a worker.
+func (f *fleet) restart(worker int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[worker].reset(time.Now())
+}
+
 // endRuns ends the runs that are due or whose lease has expired, until the context ends.
 func (f *fleet) endRuns(ctx context.Context) {
 	ticker := time.NewTicker(fleetTick)
@@ -299,7 +315,11 @@
 		if len(w.runs) >= maxRunsPerWorker {
 			f.recordViolation("%s has no capacity for %v", w.name, o.Run)
 		}
-		w.runs[k] = &fleetRun{number: o.Run.Run, endsAt: now.Add(taskDuration)}
+		duration := taskDuration
+		if crc32.ChecksumIEEE([]byte(k.Job))%longJobInterval == 0 {
+			duration = longTaskDuration
+		}
+		w.runs[k] = &fleetRun{number: o.Run.Run, endsAt: now.Add(duration)}
 		f.running[k]++
 		f.started[k.Job] = true
 		if f.crashing[k.Job] && k.Step == 0 && k.Index == 0 {
