scheduler: log the end of a lease once on a draining worker too

Cause, found in the review of: that the lease of a silent worker is over was kept by the crashes recorded for it, of which a draining worker has none. While uncertain starts waited for the longest lease, FD2113 was logged in each check of the sessions, fifty times a second for a worker.

Change: a flag of its own.

Evidence: TestLeaseOverIsLoggedOnce fails without the change.

--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -72,7 +72,7 @@
 	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
 	s.latestClock = max(s.latestClock, answer.Clock)
 	s.lastAnswerAt, s.lastHeardAt, s.renewAt = now, now, now
-	s.leaseCrashes = nil
+	s.leaseOver, s.leaseCrashes = false, nil
 	s.aliveAt = max(s.aliveAt, o.SentAt)
 	if o.SentAt > s.restartSuspectedAt {
 		s.refuteRestart()
--- a/controld/internal/scheduler/restart_test.go
+++ b/controld/internal/scheduler/restart_test.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -276,3 +279,21 @@
 		})
 	}
 }
+
+// TestLeaseOverIsLoggedOnce guards against a log line in each check of the sessions while uncertain runs of a draining
+// worker wait for the longest lease.
+func TestLeaseOverIsLoggedOnce(t *testing.T) {
+	h := newHarness(t, nil, "w1", "w2")
+	var log bytes.Buffer
+	h.cfg.Logger = slog.New(slog.NewTextHandler(&log, nil))
+	h.connectWorkers()
+	h.submit(oneTaskStep())
+	h.advance(time.Millisecond)
+	o := h.takeStart()
+	h.Started(o, executor.Answer{}, h.now)
+	draining := workerLife(o.Incarnation.Worker(), 1)
+	draining.Draining = true
+	h.commit(h.RecordReport(draining, h.now))
+	h.cutOff(o.Incarnation.Worker())
+	require.Equal(t, 1, strings.Count(log.String(), "FD2113"))
+}
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -37,7 +37,8 @@
 	uncertainLeaseAt time.Duration
 	// aliveAt is the latest time at which the incarnation certainly existed.
 	aliveAt time.Duration
-	// leaseCrashes holds the crash for each run that may have caused it once the lease is over, and is nil before.
+	// leaseOver is set once the lease is over. leaseCrashes then holds the crash for each run that may have caused it.
+	leaseOver    bool
 	leaseCrashes map[*batch.Task]*wire.WorkerCrash
 	// renewing is set while a renewal is unanswered.
 	renewing     bool
@@ -314,9 +315,7 @@
 func (s *session) reachable() bool { return !s.unreachable && s.restartSuspectedAt == 0 }
 
 // suspectRestart records that the worker seems to have started again.
-func (s *session) suspectRestart(now time.Duration) {
-	s.restartSuspectedAt = max(now, 1)
-}
+func (s *session) suspectRestart(now time.Duration) { s.restartSuspectedAt = now }
 
 // refuteRestart records that the incarnation has answered an order that was sent after the suspicion.
 func (s *session) refuteRestart() { s.restartSuspectedAt, s.restartReport = 0, nil }
@@ -393,8 +392,8 @@
 		return
 	}
 	expired := now-s.lastAnswerAt > sc.cfg.RenewWait && sc.leaseExpired(s, now)
-	if expired && s.leaseCrashes == nil {
-		s.leaseCrashes = sc.suspects(s, false)
+	if expired && !s.leaseOver {
+		s.leaseOver, s.leaseCrashes = true, sc.suspects(s, false)
 		sc.logLeaseOver(s, now)
 	}
 	for t, r := range s.runs {
