--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -319,16 +319,19 @@
 	}}}
 }
 
+// submitID returns the id of the job with a number.
+func submitID(number int) string { return fmt.Sprintf("%016x", number) }
+
 func submitCall(number int) *wire.QueueCall {
 	return &wire.QueueCall{Body: &wire.QueueCall_Submit{Submit: &wire.JobCall{
-		Host: "h", Path: fmt.Sprintf("/q/%016x", number),
+		Host: "h", Path: "/q/" + submitID(number),
 		Job: &wire.SubmittedJob{Steps: []*wire.JobStep{{Count: 2, CpuMillis: 1000, EstimateMs: 700}}},
 	}}}
 }
 
 func stateCall(number int) *wire.QueueCall {
 	return &wire.QueueCall{Body: &wire.QueueCall_State{State: &wire.JobCall{
-		Host: "h", Path: fmt.Sprintf("/q/%016x", number),
+		Host: "h", Path: "/q/" + submitID(number),
 	}}}
 }
 
--- a/controld/internal/controller/restarted_workers_test.go
+++ b/controld/internal/controller/restarted_workers_test.go
@@ -12,8 +12,12 @@
 	"flamingodrift.example/core/wire"
 )
 
-// reportInterval is how often a fake worker reports about itself.
-const reportInterval = 1500 * time.Millisecond
+const (
+	// reportInterval is how often a fake worker reports about itself.
+	reportInterval = 1500 * time.Millisecond
+	// restartSeeds is how many seeds of each case are played.
+	restartSeeds = 8
+)
 
 // restartingFleet is a fleet whose workers start again under their old names and are cut off now and then.
 type restartingFleet struct {
@@ -92,6 +96,30 @@
 	}
 }
 
+// play submits jobs for a minute, ends early after a failed check, and returns how many it submitted.
+func (f *restartingFleet) play(kills *rand.Rand, killsLeaders bool) int {
+	g := f.group
+	submitted, killed, backAt := 0, (*testNode)(nil), time.Duration(0)
+	for end := g.now + time.Minute; g.now < end && !f.t.Failed(); f.step() {
+		leader := g.leader()
+		if leader != nil && (g.now/testTick)%25 == 0 && len(leader.ctl.cell.Batch().Active()) < 8 {
+			g.call(leader, submitCall(submitted))
+			submitted++
+		}
+		switch {
+		case killed != nil && g.now > backAt:
+			g.restart(killed, killed.dir)
+			killed.ctl.async = f.async
+			killed = nil
+		case killsLeaders && killed == nil && kills.IntN(200) == 0:
+			if killed = leader; killed != nil {
+				killed.down, backAt = true, g.now+time.Second
+			}
+		}
+	}
+	return submitted
+}
+
 // Guards against counting the lease of a worker as over that an order for its former incarnation has extended, and
 // against placing a run anew that such an order has started: the task runs twice at a time, which the fake fleet checks.
 func TestRestartedWorkersRunNoTaskTwice(t *testing.T) {
@@ -108,33 +136,15 @@
 		for seed := range uint64(restartSeeds) {
 			t.Run(fmt.Sprintf("%s, seed %d", tt.name, seed), func(t *testing.T) {
 				f := newRestartingFleet(t, seed, tt.longestLease)
-				g := f.group
-				kills := rand.New(rand.NewPCG(seed, 2))
-				number, killed, backAt := 0, (*testNode)(nil), time.Duration(0)
-				for end := g.now + 60*time.Second; g.now < end && !t.Failed(); f.step() {
-					if leader := g.leader(); leader != nil && (g.now/testTick)%25 == 0 && len(leader.ctl.cell.Batch().Active()) < 8 {
-						g.call(leader, submitCall(number))
-						number++
-					}
-					switch {
-					case killed != nil && g.now > backAt:
-						killed.down = false
-						g.restart(killed, killed.dir)
-						killed.ctl.async = f.async
-						killed = nil
-					case tt.killsLeaders && killed == nil && kills.IntN(200) == 0:
-						if killed = g.leader(); killed != nil {
-							killed.down, backAt = true, g.now+time.Second
-						}
-					}
-				}
+				submitted := f.play(rand.New(rand.NewPCG(seed, 2)), tt.killsLeaders)
 				if t.Failed() {
 					return
 				}
 				require.Greater(t, f.starts, 20)
+				jobs := f.group.awaitLeader().ctl.cell.Batch()
 				completed := 0
-				for n := range number {
-					if j := g.awaitLeader().ctl.cell.Batch().Job(submitID(n)); j != nil && j.Phase() == wire.JobPhase_JOB_PHASE_COMPLETED {
+				for number := range submitted {
+					if j := jobs.Job(submitID(number)); j != nil && j.Phase() == wire.JobPhase_JOB_PHASE_COMPLETED {
 						completed++
 					}
 				}
@@ -143,8 +153,3 @@
 		}
 	}
 }
-
-// restartSeeds is how many seeds of each case are played.
-const restartSeeds = 8
-
-func submitID(number int) string { return fmt.Sprintf("%016x", number) }
--- a/controld/internal/scheduler/restart_test.go
+++ b/controld/internal/scheduler/restart_test.go
@@ -50,6 +50,16 @@
 	return 0
 }
 
+// newHarnessWithStart returns a harness with two workers and the start order of a task on one of them.
+func newHarnessWithStart(t *testing.T) (*harness, StartOrder) {
+	t.Helper()
+	h := newHarness(t, nil, "w1", "w2")
+	h.connectWorkers()
+	h.submit(oneTaskStep())
+	h.advance(time.Millisecond)
+	return h, h.takeStart()
+}
+
 func (h *harness) takeRenewals() []RenewOrder {
 	renewals := h.work.Renewals
 	h.work.Renewals = nil
@@ -106,11 +116,7 @@
 
 // TestLeaseOfWorkerThatHasNotRestarted guards against waiting for the longest lease where no order can have extended it.
 func TestLeaseOfWorkerThatHasNotRestarted(t *testing.T) {
-	h := newHarness(t, nil, "w1", "w2")
-	h.connectWorkers()
-	h.submit(oneTaskStep())
-	h.advance(time.Millisecond)
-	o := h.takeStart()
+	h, o := newHarnessWithStart(t)
 	h.Started(o, h.answer(executor.Done), h.now)
 	require.Less(t, h.cutOff(o.Incarnation.Worker()), testLease+testAnswerTimeout+time.Second)
 }
@@ -140,11 +146,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			h := newHarness(t, nil, "w1", "w2")
-			h.connectWorkers()
-			h.submit(oneTaskStep())
-			h.advance(time.Millisecond)
-			o := h.takeStart()
+			h, o := newHarnessWithStart(t)
 			h.advance(100 * time.Millisecond)
 			h.Started(o, test.answer(h), h.now)
 			waited := h.cutOff(o.Incarnation.Worker())
@@ -160,11 +162,7 @@
 // TestStartOfLivingIncarnationIsCertain guards against waiting for the longest lease for runs that an incarnation outlived
 // for long: an order that it has not answered can't have reached a later one.
 func TestStartOfLivingIncarnationIsCertain(t *testing.T) {
-	h := newHarness(t, nil, "w1", "w2")
-	h.connectWorkers()
-	h.submit(oneTaskStep())
-	h.advance(time.Millisecond)
-	o := h.takeStart()
+	h, o := newHarnessWithStart(t)
 	h.Started(o, executor.Answer{}, h.now)
 	h.takeStarts()
 	running := map[string][]executor.Running{o.Incarnation.Worker(): {{Run: o.Order.Run, Percent: 100}}}
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -35,7 +35,7 @@
 	// ended without an answer of this incarnation: it may have reached a later one.
 	openLeaseOrders  int
 	uncertainLeaseAt time.Duration
-	// aliveAt is the latest time at which the incarnation certainly existed.
+	// aliveAt is the latest time at which certainly no later incarnation existed: this one answered an order sent then.
 	aliveAt time.Duration
 	// leaseOver is set once the lease is over. leaseCrashes then holds the crash for each run that may have caused it.
 	leaseOver    bool
@@ -330,7 +330,7 @@
 }
 
 // mayHaveReachedOther reports whether an order that ended without an answer of this incarnation may have reached a later
-// one. A connection that was established while this incarnation existed ends with it.
+// one. A connection that was established before aliveAt leads to no later one: it ends with the process at its other end.
 func (s *session) mayHaveReachedOther(answer executor.Answer, now time.Duration) bool {
 	return answer.Status != executor.NotSent && (answer.ConnectedFor == 0 || now-answer.ConnectedFor > s.aliveAt)
 }
