scheduler: a crash under a start without an answer is not conclusive

What callers saw: a sound job was shown as failed after one crash of a worker that had run it.

Cause: two conclusive crashes give a task up. A crash is conclusive if the run was the only suspect and had just begun, and a run counted as just begun for as long as the worker was not known to have lived with it. A start that is not answered gives no such sign either: it may have come after the crash.

Change: only a run that the worker has confirmed is among the newest. An unanswered one is still suspected and isolated, and three crashes give it up, so that a task that crashes its worker before it answers stays bounded.

TestUnansweredStartIsNotConclusive fails before: "expected: false, actual: true" for a start without an answer.

--- a/controld/internal/batch/crash.go
+++ b/controld/internal/batch/crash.go
@@ -36,7 +36,7 @@
 // OnlySuspect reports whether no other task or gang may have caused the crash.
 func (c *Crash) OnlySuspect() bool { return c.onlySuspect }
 
-// Newest reports whether the run was among the newest on the worker, and so the most likely cause.
+// Newest reports whether the run had begun and was among the newest on the worker, and so the most likely cause.
 func (c *Crash) Newest() bool { return c.newest }
 
 // Confirmed reports whether the worker is known to have ended. Otherwise it may only be cut off.
--- a/controld/internal/scheduler/crash.go
+++ b/controld/internal/scheduler/crash.go
@@ -71,12 +71,13 @@
 		}
 	}
 	crashes := map[*batch.Task]*wire.WorkerCrash{}
-	for t := range runs {
+	for t, r := range runs {
 		crashes[t] = &wire.WorkerCrash{
 			Worker: s.incarnation.Worker(), BornUnixMs: s.incarnation.StartedUnixMs(),
 			Address: s.incarnation.Report().GetAddress(), Run: uint32(t.Run()),
 			OnlySuspect: known && len(jobs) == 1, Confirmed: confirmed,
-			Newest: known && len(newestJobs) <= maxNewestJobs && newestJobs[t.Step().Job()],
+			// A start without an answer may have come after the crash.
+			Newest: known && r.confirmed && len(newestJobs) <= maxNewestJobs && newestJobs[t.Step().Job()],
 		}
 	}
 	return crashes
--- a/controld/internal/scheduler/isolation_test.go
+++ b/controld/internal/scheduler/isolation_test.go
@@ -136,6 +136,38 @@
 	}
 }
 
+// TestUnansweredStartIsNotConclusive guards against giving up a job after two crashes when its starts may have come too late
+// for the workers, so that nothing of it ran there.
+func TestUnansweredStartIsNotConclusive(t *testing.T) {
+	tests := []struct {
+		name       string
+		answer     func(*harness) executor.Answer
+		conclusive bool
+	}{
+		{"started", func(h *harness) executor.Answer { return h.answer(executor.Done) }, true},
+		{"no answer", func(*harness) executor.Answer { return executor.Answer{} }, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil, "w1")
+			h.connectWorkers()
+			h.submitNamed(testJobID)
+			h.advance(time.Millisecond)
+			h.Started(h.takeStart(), test.answer(h), h.now)
+			h.advance(10 * time.Millisecond)
+			for _, o := range h.work.Renewals {
+				h.Renewed(o, executor.Report{}, executor.Answer{}, h.now)
+			}
+			ends := h.restart(workerLife("w1", 2)).GetEnds()
+			require.Len(t, ends, 1)
+			crash := ends[0].GetCrash()
+			require.True(t, crash.GetConfirmed())
+			require.True(t, crash.GetOnlySuspect(), "the start may have arrived")
+			require.Equal(t, test.conclusive, crash.GetNewest())
+		})
+	}
+}
+
 // TestOtherWorkerAtAddress guards the runs of a worker at whose address another one answers. They have ended, as the
 // worker has crashed, unless it still reports: then it has moved, and its runs must not be started elsewhere.
 func TestOtherWorkerAtAddress(t *testing.T) {
