scheduler: check the users' bound for sound jobs beside other crashes

Each such job was traced: by chance, two workers crashed 10 to 50 ms after they had started its task, or three crashed under it. No order of events tells it from a task that crashes its workers, and the users allow a job to fail after two crashes.

--- a/controld/internal/scheduler/crash_test.go
+++ b/controld/internal/scheduler/crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"flamingodrift.example/core/executor"
 )
 
 // Timing of a simulated worker that crashes.
@@ -55,6 +57,30 @@
 	return l
 }
 
+// TestSoundJobsAreGivenUpAfterTwoCrashesOnly guards against counting a crash against a task that the worker did not run, when
+// workers crash for other reasons too, and against starting crashing tasks without end meanwhile. The users let a job
+// fail when two workers have crashed under one of its tasks or gangs, whatever the cause.
+func TestSoundJobsAreGivenUpAfterTwoCrashesOnly(t *testing.T) {
+	const minCrashes = 2
+	for _, r := range runReplays(otherCrashesLoad(), replaySeeds) {
+		requireBoundedStarts(t, r)
+		for _, j := range r.jobs {
+			if j.crashesWorkers || !j.failed {
+				continue
+			}
+			given := r.batch.Job(j.id).GivenUp()
+			require.NotNil(t, given, "job %s has failed without a crash", j.id)
+			lost := map[executor.Run]bool{}
+			for _, c := range given.Crashes() {
+				if run := j.lostRun(given.Step(), given.Index(), c.Run()); j.lost[run] {
+					lost[run] = true
+				}
+			}
+			require.GreaterOrEqual(t, len(lost), minCrashes, "job %s is given up", j.id)
+		}
+	}
+}
+
 // TestOtherCrashesGiveNoSoundJobUp guards against giving sound jobs up beside crashing tasks when workers crash for other
 // reasons too.
 func TestOtherCrashesGiveNoSoundJobUp(t *testing.T) {
@@ -70,9 +96,23 @@
 	}
 }
 
+// requireBoundedStarts checks that a replay has not started crashing tasks without end.
+func requireBoundedStarts(t *testing.T, r *replay) {
+	t.Helper()
+	for _, j := range r.jobs {
+		if !j.crashesWorkers {
+			continue
+		}
+		for _, task := range j.tasks {
+			require.Less(t, task.startsAfterLimit, maxStartsAfterLimit, "job %s is started again and again", j.id)
+		}
+	}
+}
+
 // requireGivenUp checks that a replay has not started crashing tasks without end, and has given up no sound job.
 func requireGivenUp(t *testing.T, r *replay) {
 	t.Helper()
+	requireBoundedStarts(t, r)
 	crashing, failed := 0, 0
 	for _, j := range r.jobs {
 		if j.crashesWorkers {
@@ -80,9 +120,6 @@
 			if j.failed {
 				failed++
 			}
-			for _, task := range j.tasks {
-				require.Less(t, task.startsAfterLimit, maxStartsAfterLimit, "job %s is started again and again", j.id)
-			}
 			continue
 		}
 		require.False(t, j.failed, "the sound job %s is given up", j.id)
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -79,6 +79,16 @@
 	// crashesWorkers is set when one of the tasks crashes its workers, so that the job cannot be completed.
 	crashesWorkers bool
 	failed         bool
+	// lost holds the runs that ended because their worker crashed, whatever the cause. The members of a gang share one run.
+	lost map[executor.Run]bool
+}
+
+// lostRun returns the key of a run in lost.
+func (j *replayJob) lostRun(step, index, run int) executor.Run {
+	if j.tasks[executor.Run{Step: step, Index: index}].gang {
+		index = 0
+	}
+	return executor.Run{Step: step, Index: index, Run: run}
 }
 
 // replay runs a load against a Scheduler in simulated time.
@@ -414,6 +424,10 @@
 	sc := r.Scheduler
 	r.crashes++
 	r.lostRuns[min(before, len(r.lostRuns)-1)] += len(w.runs)
+	for k, run := range w.runs {
+		j := run.task.job
+		j.lost[j.lostRun(k.Step, k.Index, k.Run)] = true
+	}
 	for _, waiting := range w.renewals {
 		r.after(orderDelay, func() { r.answerRenewal(sc, waiting.order, executor.Report{}, executor.Answer{}) })
 	}
@@ -635,7 +649,7 @@
 	r.submitted++
 	j := &replayJob{
 		id: fmt.Sprintf("%016x", r.submitted), kind: index, arrived: r.now, tasks: map[executor.Run]*replayTask{},
-		granted: map[string]bool{},
+		granted: map[string]bool{}, lost: map[executor.Run]bool{},
 	}
 	for _, name := range r.workerNames {
 		j.granted[name] = kind.consent == nil || r.grants.Float64() < kind.grantedShare
