scheduler: a leave message of a former incarnation changes no session

The message of a leaving worker that has not reported draining waits until its draining is in the log. If the worker's next incarnation is registered meanwhile, Leave was called with the former one and replaced the session of the present one: answers to its open orders were counted against counters that had begun anew, so that later orders in progress went uncounted in what says when its last lease is over.

Ruled out: other callers of sessionFor pass the present incarnation.

TestLeaveOfFormerIncarnation fails before ("the start is answered": Should be true), as the answer to the open start was dropped. The message is answered as before, since the former incarnation is gone.

--- a/controld/internal/scheduler/leave.go
+++ b/controld/internal/scheduler/leave.go
@@ -9,7 +9,11 @@
 )
 
 // Leave stops the runs of a worker that is about to end. The worker is removed once the ends of all of them are in the log.
+// An incarnation that is not the worker's present one has no runs any more, and is ignored.
 func (sc *Scheduler) Leave(incarnation *batch.Incarnation, now time.Duration) {
+	if sc.batch.Incarnation(incarnation.Worker()) != incarnation {
+		return
+	}
 	s := sc.sessionFor(incarnation, now)
 	if s.leavingSince == 0 {
 		s.leavingSince = now
--- a/controld/internal/scheduler/restart_test.go
+++ b/controld/internal/scheduler/restart_test.go
@@ -295,3 +295,21 @@
 	h.cutOff(o.Incarnation.Worker())
 	require.Equal(t, 1, strings.Count(log.String(), "FD2113"))
 }
+
+// TestLeaveOfFormerIncarnation guards against taking the message of a leaving worker for its next incarnation, when that was
+// registered while the message waited for the log: the leader forgot the orders that were open at the worker.
+func TestLeaveOfFormerIncarnation(t *testing.T) {
+	h := newHarness(t, nil, "w1")
+	h.connectWorkers()
+	former := h.batch.Incarnation("w1")
+	h.registerRestart("w1")
+	h.submit(oneTaskStep())
+	h.advance(time.Millisecond)
+	start := h.takeStart()
+	h.Leave(former, h.now)
+	require.Empty(t, h.Take().Stops)
+	h.Started(start, h.answer(executor.Done), h.now)
+	state := h.RunState(h.task(), h.now)
+	require.True(t, state.Confirmed, "the start is answered")
+	require.False(t, state.Stopping)
+}
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -156,7 +156,7 @@
 	return nil
 }
 
-// sessionFor returns the session of an incarnation, creating it if necessary.
+// sessionFor returns the session of a worker's present incarnation, creating it if necessary.
 func (sc *Scheduler) sessionFor(incarnation *batch.Incarnation, now time.Duration) *session {
 	if s := sc.currentSession(incarnation); s != nil {
 		return s
