controller: a renewal that waited acknowledges no ends

What callers would see: a task that is done runs again (TWICE).

Cause: an acknowledgement is sent only shortly after an answer of the incarnation that it is for, as the next one numbers its ends from 1 and would drop ends that it never listed. maxAckAge bounds the time between the decision and the sending, but the age was taken from when the order was collected. A renewal that was decided while the leader could not send (no leader lease, a hand-over that is abandoned, a full disk) was collected later and kept its acknowledgement.

Ruled out: orders that wait for a free call, whose age was checked already; TestStaleAcknowledgement, which covers the decision.

Change: the age counts from the decision.

--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -43,7 +43,7 @@
 		return
 	}
 	c.lease.Store(&orderLease{scheduler: s, end: end})
-	c.collectOrders(s, now)
+	c.collectOrders(s)
 	for len(c.orders) > 0 {
 		o := c.orders[0]
 		if o.limited && c.callsInProgress >= maxCallsInProgress {
@@ -61,7 +61,7 @@
 }
 
 // collectOrders appends the scheduler's new orders to those that are not sent yet.
-func (c *Controller) collectOrders(s *scheduler.Scheduler, now time.Duration) {
+func (c *Controller) collectOrders(s *scheduler.Scheduler) {
 	work, config := s.Take(), c.cfg.Queues.Scheduler
 	add := func(
 		timeout time.Duration, limited bool, call func(context.Context) func(time.Duration), notSent func(time.Duration),
@@ -83,7 +83,7 @@
 	}
 	for _, o := range work.Renewals {
 		add(o.Order.Wait+config.AnswerTimeout, o.Order.Wait == 0, func(ctx context.Context) func(time.Duration) {
-			if c.cfg.Clock.Now()-now > maxAckAge {
+			if c.cfg.Clock.Now()-o.SentAt > maxAckAge {
 				o.Order.AckedEnd = 0
 			}
 			report, answer := c.cfg.Queues.Executor.Renew(ctx, o.To, o.Order)
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -67,7 +67,9 @@
 	// brokenConnections is how many open connections of the leader ended with the former incarnation. The next order on
 	// each of them fails.
 	brokenConnections int
-	token             uint64
+	// answeredAt is when the worker last answered a renewal.
+	answeredAt time.Duration
+	token      uint64
 	// leaseUntil is the end of the lease on the worker's clock.
 	leaseUntil time.Duration
 	runs       map[executor.Run]fakeRun
