batch: a gang placement that is undone changes no task

No broken rule is known to come from it.

Ruled out: two runs at a time from it. A gang is only placed when the run before is known to be over, which stays true.

Change: the last worker is recorded once the placement is accepted.

Evidence: TestPlacements now checks that a refused placement changes nothing; its new case, part of a gang that had a run before, fails without the change.

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -217,7 +217,7 @@
 			continue
 		}
 		t.acquire(inc)
-		t.previousRun, t.run, t.lastWorker = t.run, int(p.GetRun()), inc.worker
+		t.previousRun, t.run = t.run, int(p.GetRun())
 		placed = append(placed, t)
 	}
 	if len(placed) == 0 {
@@ -231,6 +231,9 @@
 		}
 		return
 	}
+	for _, t := range placed {
+		t.lastWorker = t.incarnation.worker
+	}
 	if step.job.phase == wire.JobPhase_JOB_PHASE_QUEUED {
 		step.job.phase = wire.JobPhase_JOB_PHASE_RUNNING
 	}
--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -118,6 +118,14 @@
 			name: "part of a gang", step: &wire.JobStep{Count: 2, CpuMillis: 6000, Gang: true},
 			place: place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w1", 1)),
 		},
+		{
+			name: "part of a gang that had a run before", step: &wire.JobStep{Count: 2, CpuMillis: 4000, Gang: true},
+			before: []*wire.QueueCommand{
+				place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w1", 1)),
+				end(ended(0, 0, 1, cutShort), ended(0, 1, 1, cutShort)),
+			},
+			place: place(placement(0, 0, 2, "w2", 1), placement(0, 1, 2, "w9", 1)),
+		},
 		{
 			name: "whole gang", step: &wire.JobStep{Count: 2, CpuMillis: 6000, Gang: true},
 			place: place(placement(0, 0, 1, "w1", 1), placement(0, 1, 1, "w2", 1)), placed: 2,
@@ -127,7 +135,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newTestBatch(test.step)
 			apply(b, test.before...)
+			before := b.State()
 			require.Len(t, apply(b, test.place).Placed, test.placed)
+			if test.placed == 0 {
+				require.True(t, proto.Equal(before, b.State()), "a refused placement changes nothing")
+			}
 		})
 	}
 }
