scheduler: the window for acknowledgements counts from when an answer was made

What callers would see: a task that is done runs again (TWICE).

Cause: ends are acknowledged within 0.25 s of an answer of the incarnation that listed them, since the next one numbers its ends from 1. The window began when the answer was handled. After a pause of the leader, or an answer that the network held up, it began anew although the worker may have restarted meanwhile, and the acknowledgement could make the next incarnation drop ends that it never listed.

Change: the worker's clock in the answer says when it was made, within the 2 % of a slow clock and the delay of the answer before. The first answer counts from its order.

Two late answers in a row hide a part of the second delay; that remains.

--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -68,6 +68,10 @@
 		// another clock.
 		s.leaseUntil = max(s.leaseUntil, answer.Clock+sc.cfg.LongestLease)
 	}
+	s.answerMadeAt = o.SentAt
+	if s.hasClock {
+		s.answerMadeAt = now - max(0, sc.minWorkerTime(s, now)-answer.Clock)
+	}
 	s.hasAnswered, s.unreachable = true, false
 	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
 	s.latestClock = max(s.latestClock, answer.Clock)
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -44,6 +44,8 @@
 	renewing     bool
 	renewAt      time.Duration
 	lastAnswerAt time.Duration
+	// answerMadeAt is when the worker made its last answer, as its clock shows. This process may have been paused since.
+	answerMadeAt time.Duration
 	// lastHeardAt is when the worker last answered an order or reported.
 	lastHeardAt time.Duration
 	// reportedAt is when the worker's newest report came, and reportSequence the number of that report.
@@ -136,7 +138,7 @@
 // eight million terms a token stays below 2^53, which every JSON parser can represent.
 const incarnationBits = 30
 
-// ackWindow is how long after an answer of an incarnation its ended runs may be acknowledged. A later incarnation with
+// ackWindow is how long after an incarnation made an answer its ended runs may be acknowledged. A later incarnation with
 // the same worker id numbers its ended runs from 1 again, so a stale acknowledgement would make it drop ends that were
 // never reported. Within this window a new incarnation cannot have an ended run yet.
 const ackWindow = 250 * time.Millisecond
@@ -292,7 +294,7 @@
 
 func (sc *Scheduler) renew(s *session, now time.Duration) {
 	order := executor.Renew{Token: s.token, Wait: sc.cfg.RenewWait}
-	if now-s.lastAnswerAt <= ackWindow {
+	if now-s.answerMadeAt <= ackWindow {
 		order.AckedEnd = s.committedEnd
 	}
 	if s.hasClock && s.reachable() && s.leavingSince == 0 {
