soak: workers of a failure domain that restart and are cut off

The soak could not play these: the clock of its workers always began at one hour, their longest lease was 10 s, a rejected start extended no lease, a restart broke all connections at once, and a silent worker still took connections and reported itself.

Workers have clocks that begin anywhere and are up to 2 % slow, take the lease of starts that are rejected for ticket, room or old, wait for the other members of a gang, and begin their tickets anew. A cut holds the bytes of open connections and drops requests for new ones. A run that has ended as done counts as acknowledged only if the lease has not lapsed in between, as the platform's rule says; such an end is listed as a note.

--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -22,7 +22,9 @@
 	callerPort        = 7201
 	formTimeout       = 30 * time.Second
 	settleTimeout     = 60 * time.Second
-	heartbeatInterval = 500 * time.Millisecond
+	reportInterval    = 1500 * time.Millisecond
+	maxFirstReport    = 500 * time.Millisecond
+	reportTick        = 50 * time.Millisecond
 	submitInterval    = 60 * time.Millisecond
 	configureInterval = 700 * time.Millisecond
 	// maxConfigStaleness is how long after the acknowledgement of a configuration reads may still return an older one.
@@ -49,12 +51,41 @@
 	Controls int
 	Fronts   int
 	Workers  int
+	// Restarts makes all workers of a failure domain restart under their ids and be cut off soon after, in place of random
+	// faults.
+	Restarts bool
+}
+
+// longestLease returns the longest lease that workers accept.
+func (c Config) longestLease() time.Duration {
+	if c.Restarts || c.Seed%2 == 0 {
+		return 6 * time.Second
+	}
+	return 10 * time.Second
+}
+
+// longJobInterval returns the mean interval between jobs with long tasks, in jobs.
+func (c Config) longJobInterval() uint32 {
+	if c.Restarts {
+		return 6
+	}
+	return 40
+}
+
+// submitInterval returns the interval between jobs. With Restarts, most workers are busy.
+func (c Config) submitInterval() time.Duration {
+	if c.Restarts {
+		return 1900 * time.Millisecond / time.Duration(c.Workers)
+	}
+	return submitInterval
 }
 
 // Report is the result of a soak.
 type Report struct {
 	Accepted, Refused, Completed int
 	Faults                       []string
+	// Notes lists events that explain violations.
+	Notes []string
 	// Violations lists the violated guarantees; it is empty if there were none.
 	Violations []string
 }
@@ -109,23 +140,27 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.fleet.endRuns(ctx)
-	s.runEvery(ctx, heartbeatInterval, s.sendHeartbeats)
+	s.runEvery(ctx, reportTick, s.sendReports)
 	if !s.waitUntil(formTimeout, func() bool { return s.configure(ctx) }) {
 		return s.report, fmt.Errorf("the cell did not form within %v", formTimeout)
 	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
-	s.runEvery(loadCtx, submitInterval, s.submit)
+	s.runEvery(loadCtx, s.cfg.submitInterval(), s.submit)
 	s.runEvery(loadCtx, queryInterval, func(ctx context.Context) { s.queryQueues(ctx) })
 	s.runEvery(loadCtx, configureInterval, func(ctx context.Context) { s.configure(ctx); s.readConfig(ctx) })
-	disturbCtx, stopDisturbing := context.WithCancel(ctx)
-	disturbed := make(chan struct{})
-	go func() {
-		defer close(disturbed)
-		s.disturbConnections(disturbCtx)
-	}()
-	s.injectFaults(ctx)
-	stopDisturbing()
-	<-disturbed
+	if s.cfg.Restarts {
+		s.injectRestarts(ctx)
+	} else {
+		disturbCtx, stopDisturbing := context.WithCancel(ctx)
+		disturbed := make(chan struct{})
+		go func() {
+			defer close(disturbed)
+			s.disturbConnections(disturbCtx)
+		}()
+		s.injectFaults(ctx)
+		stopDisturbing()
+		<-disturbed
+	}
 	stopLoad()
 	s.heal()
 	s.pendingSubmits.Wait()
@@ -135,6 +170,7 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	s.report.Violations = append(s.report.Violations, s.fleet.violations...)
+	s.report.Notes = s.fleet.notes
 	for id := range s.refused {
 		if s.fleet.started[id] {
 			s.recordViolation("job %s started although each submission was refused", id)
@@ -148,7 +184,7 @@
 	var err error
 	for range 100 {
 		s.subnet = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-		if s.fleet, err = newFleet(s.cfg.Seed, s.subnet, s.cfg.Workers); err == nil {
+		if s.fleet, err = newFleet(s.cfg, s.subnet); err == nil {
 			break
 		}
 	}
@@ -200,12 +236,12 @@
 	p := &process{
 		name: fmt.Sprintf("control-%d", i), program: "controld", programs: s.cfg.Programs, folder: s.cfg.Folder,
 		settings: map[string]any{
-			"name": fmt.Sprintf("control-%d", i), "failure_domain": "a", "address": fmt.Sprintf("%s:%d", ip, sessionPort),
+			"name": fmt.Sprintf("control-%d", i), "failure_domain": domainName(i % domains), "address": fmt.Sprintf("%s:%d", ip, sessionPort),
 			"advertise_address": fmt.Sprintf("%s:%d", ip, relayPort), "health_address": ip + ":7102",
 			"seeds": seeds, "first_start": true, "cell_token": "token-of-the-soak", "heartbeat_ms": 100,
 			"election_min_ms": 600, "election_max_ms": 1000, "voters": s.cfg.Controls, "memory_limit_mb": 64,
 			"queues": map[string]any{
-				"address": s.controlAddress(i), "consent_address": s.consentAddress(), "longest_lease_ms": maxLease.Milliseconds(),
+				"address": s.controlAddress(i), "consent_address": s.consentAddress(), "longest_lease_ms": s.cfg.longestLease().Milliseconds(),
 				"lost_disks": (s.cfg.Controls - 1) / 2,
 			},
 		},
@@ -281,16 +317,21 @@
 	s.report.Violations = append(s.report.Violations, text)
 }
 
-// sendHeartbeats sends a heartbeat of each worker to the control processes in random order until one acknowledges it.
-func (s *Soaker) sendHeartbeats(ctx context.Context) {
-	for _, w := range s.fleet.workers {
-		for _, i := range rand.Perm(s.cfg.Controls) {
-			call, cancel := context.WithTimeout(ctx, time.Second)
-			status := s.client.Report(call, s.controlAddress(i), w.incarnation())
-			cancel()
-			if status == 200 || ctx.Err() != nil {
-				break
-			}
+// sendReports sends the workers' reports that are due.
+func (s *Soaker) sendReports(ctx context.Context) {
+	for _, report := range s.fleet.dueReports(time.Now()) {
+		go s.sendReport(ctx, report)
+	}
+}
+
+// sendReport sends a report to the control processes in random order until one acknowledges it.
+func (s *Soaker) sendReport(ctx context.Context, report *wire.WorkerLife) {
+	for _, i := range rand.Perm(s.cfg.Controls) {
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		status := s.client.Report(call, s.controlAddress(i), report)
+		cancel()
+		if status == 200 || ctx.Err() != nil {
+			return
 		}
 	}
 }
@@ -308,11 +349,14 @@
 		defer s.pendingSubmits.Done()
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		step := &wire.JobStep{Count: uint32(1 + rand.IntN(3)), CpuMillis: 1000, EstimateMs: 300, Gang: rand.IntN(4) == 0}
-		if rand.IntN(crashOneIn) == 0 {
-			// The members of a gang of this fleet end one by one, so that one of them could complete the job.
+		if !s.cfg.Restarts && rand.IntN(crashOneIn) == 0 {
+			// A member of a gang that ends before the crash could complete the job.
 			step.Gang = false
 			s.fleet.markCrashing(id)
 		}
+		if step.GetGang() {
+			s.fleet.markGang(id, int(step.GetCount()))
+		}
 		onlyRefused := true
 		for range maxAttempts {
 			call, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -42,6 +43,7 @@
 	Controls int           `arg:"--controls" default:"3" help:"control processes"`
 	Fronts   int           `arg:"--fronts" default:"2" help:"front processes"`
 	Workers  int           `arg:"--workers" default:"5" help:"stand-in workers"`
+	Restarts bool          `arg:"--restarts" help:"restart all workers of a failure domain and cut them off soon after, instead of random faults"`
 }
 
 type arguments struct {
@@ -66,16 +68,21 @@
 		}
 		report, err := soaker.New(soaker.Config{
 			Programs: c.Programs, Folder: folder, Seed: seed, Length: c.Length, Controls: c.Controls, Fronts: c.Fronts,
-			Workers: c.Workers,
+			Workers: c.Workers, Restarts: c.Restarts,
 		}).Run(context.Background())
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
 		}
-		fmt.Printf("seed %d: %d accepted, %d completed, %d refused, %d faults, %d violations\n", seed, report.Accepted,
-			report.Completed, report.Refused, len(report.Faults), len(report.Violations))
+		fmt.Printf("seed %d: %d accepted, %d completed, %d refused, %d faults, %d notes, %d violations\n",
+			seed, report.Accepted, report.Completed, report.Refused, len(report.Faults), len(report.Notes),
+			len(report.Violations))
+		lines := strings.Join(slices.Concat(report.Faults, report.Notes, report.Violations), "\n")
+		if err := os.WriteFile(filepath.Join(folder, "report.txt"), []byte(lines+"\n"), 0o600); err != nil {
+			return fmt.Errorf("write the report: %w", err)
+		}
 		if len(report.Violations) > 0 {
 			broken++
-			fmt.Println(strings.Join(append(report.Faults, report.Violations...), "\n"))
+			fmt.Println(lines)
 		}
 	}
 	if broken > 0 {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -29,19 +29,29 @@
 // TestSoak checks the guarantees to callers while the real programs are killed, stopped, paused, partitioned and lose
 // their disks, and while workers lose orders or restart.
 func TestSoak(t *testing.T) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			run(t, soaker.Config{Seed: seed, Length: 10 * time.Second, Controls: 3, Fronts: 2, Workers: 5})
+		})
+	}
+}
+
+// TestRestartedWorkersThatAreCutOffRunNoTaskTwice guards against tasks that are placed again while workers that have
+// restarted under their ids, and that took orders for their former incarnations, still run them.
+func TestRestartedWorkersThatAreCutOffRunNoTaskTwice(t *testing.T) {
+	run(t, soaker.Config{Seed: 2, Length: 8 * time.Second, Controls: 3, Fronts: 2, Workers: 48, Restarts: true})
+}
+
+// run runs a soak that must show no violations.
+func run(t *testing.T, cfg soaker.Config) {
 	programs, err := filepath.Abs(programsFolder)
 	require.NoError(t, err)
 	if _, err := os.Stat(programs + "/frontd"); err != nil {
 		t.Fatal("the programs are missing; run make build")
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			report, err := soaker.New(soaker.Config{
-				Programs: programs, Folder: t.TempDir(), Seed: seed, Length: 10 * time.Second, Controls: 3, Fronts: 2, Workers: 5,
-			}).Run(t.Context())
-			require.NoError(t, err)
-			require.Empty(t, report.Violations, "faults:\n%s", strings.Join(report.Faults, "\n"))
-			require.Positive(t, report.Completed)
-		})
-	}
+	cfg.Programs, cfg.Folder = programs, t.TempDir()
+	report, err := soaker.New(cfg).Run(t.Context())
+	require.NoError(t, err)
+	require.Empty(t, report.Violations, "faults:\n%s", strings.Join(report.Faults, "\n"))
+	require.Positive(t, report.Completed)
 }
