--- a/controld/internal/controller/orders.go
+++ b/controld/internal/controller/orders.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// isReplaced reports whether the worker of an incarnation has a later one. The scheduler ignores the outcome of orders for
-// the former, and counts the lease of the later one from its registration.
+// isReplaced reports whether an incarnation is no longer its worker's present one. The scheduler ignores the outcome of
+// orders for it, and counts the lease of the next one from the registration of that.
 func (c *Controller) isReplaced(incarnation *batch.Incarnation) bool {
 	return incarnation != nil && c.cell.Batch().Incarnation(incarnation.Worker()) != incarnation
 }
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -180,7 +180,8 @@
 	}
 	sc := &Scheduler{
 		cfg: cfg, batch: b, token: token, leaderSince: now, alloc: allocator.New(cfg.Allocator),
-		sessions: map[string]*session{}, removed: map[string]time.Duration{}, consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
+		sessions: map[string]*session{}, removed: map[string]time.Duration{},
+		consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
 		returned: map[*batch.Incarnation]bool{},
 		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -171,11 +171,11 @@
 	}
 	_, wasRemoved := sc.removed[incarnation.Worker()]
 	s := &session{
-		followsOther: incarnation.Restarted() || wasRemoved || sc.sessions[incarnation.Worker()] != nil,
-		speed:        sc.speeds[incarnation.Worker()], incarnation: incarnation,
+		speed: sc.speeds[incarnation.Worker()], incarnation: incarnation,
 		token: sc.token<<incarnationBits + sc.incarnationCount, createdAt: now, lastHeardAt: now, lastAnswerAt: now, reportedAt: now,
 		runs: map[*batch.Task]*run{},
 	}
+	s.followsOther = incarnation.Restarted() || wasRemoved || sc.sessions[incarnation.Worker()] != nil
 	for t := range incarnation.Tasks() {
 		s.runs[t] = &run{
 			number: t.Run(), inherited: true, startUnanswered: true, startedAt: now, progressAt: now,
