Workspaces: keys decide who may call, caps hold at each placement

The leader checks the key of each call against the configuration in force; entry hosts keep no copy, so none can be outdated. The use of a workspace is derived from its runs in the aggregate, which refuses a placement above the cap; rounds plan within it, and steps that wait for a cap take no place in a round. A configuration without workspaces is served as before. Ruled out: a copy of the keys on entry hosts (would have to be refused when it may be outdated); a counter of its own for caps (could differ from the runs after a loss).

--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -64,6 +64,14 @@
 	Reserved []GangShare
 	// Length is how long a task is expected to run; 0 means unknown.
 	Length time.Duration
+	// Allowance is what the workspace of the demand may still use on all workers together. The demands of a workspace
+	// share it, and placements reduce it. It is nil without a limit.
+	Allowance *resource.Vector
+}
+
+// allows reports whether the workspace of the demand may use as much more as count of its tasks need.
+func (d *Demand) allows(count int) bool {
+	return d.Allowance == nil || d.Need.Times(int64(count)).FitsIn(*d.Allowance)
 }
 
 // Lateness says whether a demand can still meet its objective. Demands that can are served first: after an outage or a
@@ -212,6 +220,11 @@
 		r.reserve(d, demands[d].Reserved, 0)
 	}
 	for _, d := range decisionOrder(demands) {
+		if demands[d].Gang && !demands[d].allows(len(demands[d].Tasks)) {
+			// It waits for its workspace's limit, and must not keep capacity from others meanwhile.
+			r.releaseReservation(d)
+			continue
+		}
 		if demands[d].Gang && len(demands[d].Tasks) > 1 {
 			r.placeGang(d)
 		} else {
@@ -263,6 +276,9 @@
 	if r.demands[d].Priority == 0 {
 		r.urgentCPU[worker] += r.demands[d].Need.CPU()
 	}
+	if allowance := r.demands[d].Allowance; allowance != nil {
+		*allowance = allowance.Sub(r.demands[d].Need)
+	}
 	r.placedOn[worker] = true
 	r.plan.Placements = append(r.plan.Placements, Placement{Demand: d, Task: task, Worker: worker})
 }
--- a/controld/internal/allocator/independent.go
+++ b/controld/internal/allocator/independent.go
@@ -15,6 +15,10 @@
 	}
 	blocked := false
 	for _, task := range d.Tasks {
+		if !d.allows(1) {
+			// More workers would not help.
+			return
+		}
 		best, score := -1, 0.0
 		lacksConsent := false
 		for i, c := range d.Candidates {
--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -16,9 +16,14 @@
 type Batch struct {
 	config *wire.QueueConfig
 	// queues holds the queues by name, including those that the configuration in force has dropped.
-	queues       map[string]*wire.Queue
-	incarnations map[string]*Incarnation
-	jobs         map[string]*Job
+	queues map[string]*wire.Queue
+	// workspaces holds the workspaces by name, including those that the configuration in force has dropped and that have
+	// active jobs.
+	workspaces map[string]*workspace
+	// workspaceByKey holds the keys of the configuration in force.
+	workspaceByKey map[string]string
+	incarnations   map[string]*Incarnation
+	jobs           map[string]*Job
 	// active holds the jobs that have not ended or still have a run on a worker, in the order of acceptance.
 	active []*Job
 	// accepted counts the jobs that were ever accepted.
@@ -33,6 +38,7 @@
 func New() *Batch {
 	return &Batch{
 		queues: map[string]*wire.Queue{}, incarnations: map[string]*Incarnation{}, jobs: map[string]*Job{},
+		workspaces: map[string]*workspace{}, workspaceByKey: map[string]string{},
 	}
 }
 
@@ -144,6 +150,7 @@
 	for _, j := range b.active {
 		j.queue = b.queues[j.spec.GetQueue()]
 	}
+	b.configureWorkspaces(config)
 }
 
 func (b *Batch) submit(spec *wire.SubmittedJob, effect *Effect) *wire.Result {
@@ -157,6 +164,7 @@
 	}
 	b.accepted++
 	j := newJob(spec, queue, b.accepted)
+	j.workspace = b.workspaces[spec.GetWorkspace()]
 	b.jobs[spec.GetId()] = j
 	b.active = append(b.active, j)
 	effect.Accepted = j
@@ -189,8 +197,8 @@
 	return b.task(job, uint32(step), uint32(index))
 }
 
-// placeRuns accepts each placement that is still valid and fits into the free capacity of its worker. The placements of
-// a gang are accepted together or not at all.
+// placeRuns accepts each placement that is still valid and fits into the free capacity of its worker and into the limit
+// of its workspace. The placements of a gang are accepted together or not at all.
 func (b *Batch) placeRuns(placements []*wire.RunPlacement, effect *Effect) {
 	for len(placements) > 0 {
 		count := 1
@@ -213,7 +221,7 @@
 		t := b.task(p.GetJob(), p.GetStep(), p.GetIndex())
 		inc := b.incarnations[p.GetWorker()]
 		if t == nil || !t.Waiting() || int(p.GetRun()) <= t.run || inc == nil ||
-			inc.startedUnixMs != p.GetBornUnixMs() || inc.draining || !t.step.need.FitsIn(inc.Free()) {
+			inc.startedUnixMs != p.GetBornUnixMs() || inc.draining || !t.step.need.FitsIn(inc.Free()) || !t.workspaceAllows() {
 			continue
 		}
 		t.acquire(inc)
@@ -339,12 +347,17 @@
 	b.active = slices.DeleteFunc(b.active, func(j *Job) bool {
 		over := j.Ended() && j.activeRuns == 0
 		if over {
-			j.steps, j.spec = nil, &wire.SubmittedJob{Id: j.spec.GetId(), Queue: j.spec.GetQueue()}
+			j.steps, j.spec = nil, endedSpec(j.spec)
 		}
 		return over
 	})
 }
 
+// endedSpec returns the part of a job's spec that is kept once the job has ended.
+func endedSpec(spec *wire.SubmittedJob) *wire.SubmittedJob {
+	return &wire.SubmittedJob{Id: spec.GetId(), Queue: spec.GetQueue(), Workspace: spec.GetWorkspace()}
+}
+
 // resources returns the resources that each task of a step needs.
 func resources(step *wire.JobStep) resource.Vector {
 	return resource.New(&wire.Resources{
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -12,9 +12,11 @@
 type Job struct {
 	spec  *wire.SubmittedJob
 	queue *wire.Queue
-	steps []*Step
-	phase wire.JobPhase
-	order uint64
+	// workspace is nil for a job without one.
+	workspace *workspace
+	steps     []*Step
+	phase     wire.JobPhase
+	order     uint64
 	// activeRuns counts the runs of the job that occupy resources on a worker.
 	activeRuns int
 	// givenUp is the task for which the job has failed because workers crashed under it, or nil.
@@ -42,6 +44,9 @@
 // Queue returns the job's queue as of the newest configuration that contains it.
 func (j *Job) Queue() *wire.Queue { return j.queue }
 
+// Workspace returns the name of the workspace to which the job belongs; empty without one.
+func (j *Job) Workspace() string { return j.spec.GetWorkspace() }
+
 // Steps returns the job's steps; nil once the job has ended and has no run left.
 func (j *Job) Steps() []*Step { return j.steps }
 
@@ -271,6 +276,9 @@
 func (t *Task) acquire(inc *Incarnation) {
 	inc.addRun(t)
 	t.incarnation = inc
+	if w := t.step.job.workspace; w != nil {
+		w.used = w.used.Add(t.step.need)
+	}
 	t.step.activeRuns++
 	t.step.job.activeRuns++
 }
@@ -279,6 +287,9 @@
 func (t *Task) release() {
 	t.incarnation.removeRun(t)
 	t.incarnation = nil
+	if w := t.step.job.workspace; w != nil {
+		w.used = w.used.Sub(t.step.need)
+	}
 	t.step.activeRuns--
 	t.step.job.activeRuns--
 }
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -14,6 +14,9 @@
 	for _, name := range slices.Sorted(maps.Keys(b.queues)) {
 		state.RetiredQueues = append(state.RetiredQueues, b.queues[name])
 	}
+	for _, name := range b.Workspaces() {
+		state.RetiredWorkspaces = append(state.RetiredWorkspaces, b.workspaces[name].settings)
+	}
 	for _, worker := range slices.Sorted(maps.Keys(b.incarnations)) {
 		report := b.incarnations[worker].report
 		if report.GetDraining() != b.incarnations[worker].draining {
@@ -46,7 +49,7 @@
 	}
 	if j.Ended() && j.activeRuns == 0 {
 		// Only the phase of an ended job is still read.
-		state.Job = &wire.SubmittedJob{Id: j.spec.GetId(), Queue: j.spec.GetQueue()}
+		state.Job = endedSpec(j.spec)
 		return state
 	}
 	for _, s := range j.steps {
@@ -78,6 +81,11 @@
 	if state.GetConfig() != nil {
 		b.configure(state.GetConfig())
 	}
+	for _, w := range state.GetRetiredWorkspaces() {
+		if b.workspaces[w.GetName()] == nil {
+			b.setWorkspace(w)
+		}
+	}
 	for _, report := range state.GetWorkers() {
 		b.incarnations[report.GetWorker()] = newIncarnation(report)
 	}
@@ -88,7 +96,7 @@
 	}
 	for _, s := range state.GetJobs() {
 		j := newJob(s.GetJob(), b.queues[s.GetJob().GetQueue()], s.GetOrder())
-		j.phase = s.GetPhase()
+		j.phase, j.workspace = s.GetPhase(), b.workspaces[s.GetJob().GetWorkspace()]
 		if g := s.GetGivenUp(); g != nil {
 			j.givenUp = &GivenUpTask{step: int(g.GetStep()), index: int(g.GetIndex()), crashes: newCrashes(g.GetCrashes())}
 		}
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -163,6 +163,9 @@
 	// formingRetryDelay is when a caller or an operator may retry while the group has too few voters or no queue
 	// configuration.
 	formingRetryDelay = 500 * time.Millisecond
+	// exceedsLimitRetryDelay is when a caller may retry whose job exceeds the limit of its workspace: only another
+	// configuration can change that.
+	exceedsLimitRetryDelay = 10 * time.Second
 )
 
 // acceptsChanges reports whether the group may store new state. When it may not, it replies to the call itself.
@@ -196,19 +199,33 @@
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
 		return
 	}
+	workspace, ok := c.authenticate(e, queue, call)
+	if !ok {
+		return
+	}
 	job := call.GetJob()
-	job.Id, job.Queue = id, queue.GetName()
+	job.Id, job.Queue, job.Workspace = id, queue.GetName(), workspace
 	if problem := batch.CheckJob(job); problem != "" {
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, problem)
 		return
 	}
-	if b.Job(id) != nil {
+	if j := b.Job(id); j != nil {
+		if j.Workspace() != workspace {
+			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, "the job id is taken")
+			return
+		}
 		e.answer(&wire.QueueReply{})
 		return
 	}
 	if !c.acceptsChanges(e) {
 		return
 	}
+	if problem := b.CheckWorkspaceLimit(job); problem != "" {
+		logger.JobTurnedAway.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "workspace", workspace, "why", problem)
+		c.countRefusal(reason.ExceedsQuota)
+		e.turnAway(problem, exceedsLimitRetryDelay)
+		return
+	}
 	if admission := c.scheduler.Admit(queue, job, now); !admission.Admitted {
 		logger.JobTurnedAway.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "why", admission.Reason,
 			"waiting_core_ms", admission.Backlog, "retry_after_ms", admission.RetryAfter.Milliseconds())
@@ -226,7 +243,21 @@
 	})
 }
 
-// findJob returns the job that a call names. When there is none, it replies to the call itself and returns nil.
+// authenticate returns the workspace of a call to a queue; it is empty where none is needed. When the configuration in
+// force does not hold the key of the call, it replies to the call itself and returns false.
+func (c *Controller) authenticate(e queueEvent, queue *wire.Queue, call *wire.JobCall) (workspace string, ok bool) {
+	b := c.cell.Batch()
+	workspace, known := b.WorkspaceOfKey(call.GetKey())
+	if known || queue.GetPublic() || !b.KeysRequired() {
+		return workspace, true
+	}
+	c.countRefusal(reason.Unauthorized)
+	e.fail(wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY, "no workspace has this key")
+	return "", false
+}
+
+// findJob returns the job that a call names. When there is none in the caller's workspace, it replies to the call itself
+// and returns nil.
 func (c *Controller) findJob(e queueEvent, call *wire.JobCall) *batch.Job {
 	b := c.cell.Batch()
 	if b.Config() == nil {
@@ -234,13 +265,21 @@
 		return nil
 	}
 	// Jobs outlive a queue that was dropped from the configuration.
-	if j := b.Job(lastSegment(call.GetPath())); j != nil {
-		return j
-	}
-	if _, _, ok := b.Route(call.GetHost(), call.GetPath()); !ok {
+	j := b.Job(lastSegment(call.GetPath()))
+	queue, _, found := b.Route(call.GetHost(), call.GetPath())
+	if j != nil {
+		queue = j.Queue()
+	} else if !found {
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
 		return nil
 	}
+	workspace, ok := c.authenticate(e, queue, call)
+	if !ok {
+		return nil
+	}
+	if j != nil && j.Workspace() == workspace {
+		return j
+	}
 	e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_JOB, "no such job")
 	return nil
 }
@@ -278,6 +317,9 @@
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
 		return
 	}
+	if _, ok := c.authenticate(e, queue, call); !ok {
+		return
+	}
 	e.answer(&wire.QueueReply{Pending: uint32(c.scheduler.Pending(queue.GetName(), now))})
 }
 
@@ -293,6 +335,7 @@
 	}
 	c.proposeQueueCommand(e, &wire.QueueCommand{Configure: config}, now, func(*wire.Result) {
 		logger.QueuesConfigured.Log(c.cfg.Logger, "version", config.GetVersion(), "queues", len(config.GetQueues()),
+			"workspaces", len(config.GetWorkspaces()),
 			"in_force", c.cell.Batch().Config().GetVersion())
 		e.answer(&wire.QueueReply{})
 	})
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -7,6 +7,7 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/resource"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
@@ -67,12 +68,17 @@
 	runTasks []*batch.Task
 	// placements holds those of isolated tasks, which are decided before the others.
 	placements []*wire.RunPlacement
+	// allowances holds, by workspace, what it may still use; only for workspaces with a limit.
+	allowances map[string]*resource.Vector
 }
 
 // decide runs a scheduling round and returns its placements.
 func (sc *Scheduler) decide(now time.Duration) []*wire.RunPlacement {
 	sc.rounds++
-	r := &round{now: now, number: sc.rounds, sessions: sc.roundSessions[:0], workers: sc.roundWorkers[:0]}
+	r := &round{
+		now: now, number: sc.rounds, sessions: sc.roundSessions[:0], workers: sc.roundWorkers[:0],
+		allowances: sc.allowances(),
+	}
 	defer func() { sc.roundSessions, sc.roundWorkers = r.sessions, r.workers }()
 	sc.addDemands(r)
 	sc.lastRound = roundResult{steps: r.steps}
@@ -226,7 +232,7 @@
 }
 
 func (sc *Scheduler) addDemands(r *round) {
-	waiting := sc.waitingSteps(r.now)
+	waiting := sc.waitingSteps(r)
 	if len(waiting) == 0 {
 		return
 	}
@@ -240,14 +246,15 @@
 
 // waitingSteps returns the steps with tasks to place, most urgent first. When there are more than a round considers,
 // each priority gets a minimum number of places, so that the backlog of one priority does not block the others.
-func (sc *Scheduler) waitingSteps(now time.Duration) []waitingStep {
+func (sc *Scheduler) waitingSteps(r *round) []waitingStep {
+	now := r.now
 	var waiting []waitingStep
 	for _, j := range sc.batch.Active() {
 		if j.Ended() {
 			continue
 		}
 		for _, step := range j.Steps() {
-			if step.Waiting() == 0 || !step.Ready() {
+			if step.Waiting() == 0 || !step.Ready() || !r.allows(step) {
 				continue
 			}
 			if tasks := sc.placeableTasks(step, now); len(tasks) > 0 {
@@ -320,6 +327,7 @@
 		}
 		d.Tasks = append(d.Tasks, task)
 	}
+	d.Allowance = r.allowances[step.Job().Workspace()]
 	d.Candidates = sc.candidates(r, step)
 	r.steps = append(r.steps, step)
 	r.demands = append(r.demands, d)
--- a/controld/internal/scheduler/wait.go
+++ b/controld/internal/scheduler/wait.go
@@ -46,6 +46,9 @@
 	if len(sc.placeableTasks(step, now)) == 0 {
 		return reason.LeaseNotOver, ""
 	}
+	if detail := sc.limitWait(step); detail != "" {
+		return reason.QuotaReached, detail
+	}
 	if why, detail := sc.missingConsent(step, now); why != reason.None {
 		return why, detail
 	}
