--- a/controld/internal/ratetracker/ratetracker_test.go
+++ b/controld/internal/ratetracker/ratetracker_test.go
@@ -51,7 +51,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			tracker := ratetracker.New()
+			tracker := ratetracker.New(-time.Minute)
 			within, number := 0, 0
 			for _, a := range test.arrivals {
 				step := time.Duration(float64(time.Second) / a.perSecond)
@@ -74,7 +74,7 @@
 
 // TestRepetitionCountsOnce guards against a caller whose repeated submissions of one job use up its rate.
 func TestRepetitionCountsOnce(t *testing.T) {
-	tracker := ratetracker.New()
+	tracker := ratetracker.New(-time.Minute)
 	for range 10 {
 		require.False(t, tracker.IsExcess("w", "a", 0.4, time.Second))
 		tracker.Accept("w", "a", time.Second)
@@ -88,7 +88,7 @@
 
 // TestRefusedJobsDoNotCount guards against retries of refused jobs that use up the rate.
 func TestRefusedJobsDoNotCount(t *testing.T) {
-	tracker := ratetracker.New()
+	tracker := ratetracker.New(-time.Minute)
 	tracker.Accept("w", "a", 0)
 	for i := range 100 {
 		require.True(t, tracker.IsExcess("w", "b", 0.2, time.Duration(i)*time.Millisecond))
@@ -98,7 +98,7 @@
 
 // TestWorkspacesAreIndependent guards against one workspace that uses up the rate of another.
 func TestWorkspacesAreIndependent(t *testing.T) {
-	tracker := ratetracker.New()
+	tracker := ratetracker.New(-time.Minute)
 	for i := range 10 {
 		tracker.Accept("hot", fmt.Sprint(i), 0)
 	}
@@ -107,3 +107,17 @@
 	tracker.Keep(func(workspace string) bool { return workspace != "hot" })
 	require.False(t, tracker.IsExcess("hot", "x", 1, 0))
 }
+
+// TestNewLeader guards against a workspace that gets its whole window again from each new leader.
+func TestNewLeader(t *testing.T) {
+	tracker := ratetracker.New(time.Minute)
+	within := 0
+	for i := range 300 {
+		now := time.Minute + time.Duration(i)*10*time.Millisecond
+		if job := fmt.Sprint(i); !tracker.IsExcess("w", job, 10, now) {
+			tracker.Accept("w", job, now)
+			within++
+		}
+	}
+	require.InDelta(t, 40, within, 1, "one second of the rate at once, and 3 s at the rate")
+}
