--- a/controld/internal/batch/workspace_test.go
+++ b/controld/internal/batch/workspace_test.go
@@ -61,7 +61,8 @@
 		{"another workspace", []*wire.QueueCommand{submitIn("b", "j1", 4, 2_000, false), placeOn("w1", "j1", 0, 1, 2, 3)}, 0},
 		{"after an end", []*wire.QueueCommand{
 			submitIn("a", "j1", 4, 2_000, false), placeOn("w1", "j1", 0, 1),
-			{Ends: []*wire.RunEnd{{Job: "j1", Run: 1, Outcome: wire.RunOutcome_RUN_OUTCOME_DONE}}}, placeOn("w1", "j1", 2, 3),
+			{Ends: []*wire.RunEnd{{Job: "j1", Run: 1, Outcome: wire.RunOutcome_RUN_OUTCOME_DONE}}},
+			placeOn("w1", "j1", 2, 3),
 		}, 4_000},
 		{"lowered", []*wire.QueueCommand{
 			submitIn("a", "j1", 4, 2_000, false), placeOn("w1", "j1", 0),
