--- a/controld/internal/batch/workspace_test.go
+++ b/controld/internal/batch/workspace_test.go
@@ -66,7 +66,8 @@
 		}, 4_000},
 		{"lowered", []*wire.QueueCommand{
 			submitIn("a", "j1", 4, 2_000, false), placeOn("w1", "j1", 0),
-			{Configure: workspaceConfig(2, &wire.Workspace{Name: "a", MaxCpuMillis: 3_000})}, placeOn("w1", "j1", 1),
+			{Configure: workspaceConfig(2, &wire.Workspace{Name: "a", MaxCpuMillis: 3_000})},
+			placeOn("w1", "j1", 1),
 		}, 2_000},
 		{"dropped", []*wire.QueueCommand{
 			submitIn("a", "j1", 4, 2_000, false), {Configure: workspaceConfig(2)}, placeOn("w1", "j1", 0, 1, 2, 3),
