--- a/controld/internal/batch/workspace_test.go
+++ b/controld/internal/batch/workspace_test.go
@@ -74,7 +74,8 @@
 		}, 4_000},
 		{"lost worker", []*wire.QueueCommand{
 			submitIn("a", "j1", 4, 2_000, false), placeOn("w1", "j1", 0, 1),
-			{Gone: []*wire.WorkerLife{{Worker: "w1", BornUnixMs: 1}}}, placeOn("w2", "j1", 2, 3),
+			{Gone: []*wire.WorkerLife{{Worker: "w1", BornUnixMs: 1}}},
+			placeOn("w2", "j1", 2, 3),
 		}, 4_000},
 	}
 	for _, c := range cases {
