--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -196,7 +196,10 @@
 	}
 	queue, id, ok := b.Route(call.GetHost(), call.GetPath())
 	if !ok {
-		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
+		// A job that was stored before its queue was dropped runs, so its caller must not be told that it does not.
+		if j := c.findJob(e, call); j != nil {
+			e.answer(&wire.QueueReply{})
+		}
 		return
 	}
 	workspace, ok := c.authenticate(e, queue, call)
@@ -228,7 +231,7 @@
 	}
 	if admission := c.scheduler.Admit(queue, job, now); !admission.Admitted {
 		logger.JobTurnedAway.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "why", admission.Reason,
-			"waiting_core_ms", admission.Backlog, "retry_after_ms", admission.RetryAfter.Milliseconds())
+			"workspace", workspace, "waiting_core_ms", admission.Backlog, "retry_after_ms", admission.RetryAfter.Milliseconds())
 		c.countRefusal(reason.QueueFull)
 		e.turnAway(admission.Reason, admission.RetryAfter)
 		return
@@ -238,7 +241,8 @@
 			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, result.GetDetail())
 			return
 		}
-		logger.JobAccepted.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "config_version", b.Config().GetVersion())
+		logger.JobAccepted.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "workspace", workspace,
+			"config_version", b.Config().GetVersion())
 		e.answer(&wire.QueueReply{})
 	})
 }
--- a/controld/internal/controller/queue_test.go
+++ b/controld/internal/controller/queue_test.go
@@ -541,3 +541,16 @@
 	}
 	require.Zero(t, f.startOrders)
 }
+
+// TestResubmissionToDroppedQueue guards against telling a caller that a stored job does not exist, because its queue was
+// dropped from the configuration while the answer to the first attempt was lost.
+func TestResubmissionToDroppedQueue(t *testing.T) {
+	f := newFakeFleet(t, 1, 0)
+	g := newGroupWithQueues(t, 3, f.config())
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	g.callUntilOK(submitCall(1))
+	g.callUntilOK(&wire.QueueCall{Body: &wire.QueueCall_Configure{Configure: &wire.QueueConfig{Version: 2}}})
+	require.Equal(t, outcomeOK, g.outcome(submitCall(1)))
+	require.Equal(t, outcomeNoQueue, g.outcome(submitCall(2)))
+}
--- a/controld/internal/explainer/sentences.go
+++ b/controld/internal/explainer/sentences.go
@@ -5,7 +5,7 @@
 // waitSentences maps each reason for waiting to a sentence that says what it means and what ends the wait.
 var waitSentences = map[reason.Reason]string{
 	reason.NoCapacity:           "No worker has enough free processors, memory and accelerators; it starts when tasks end or workers join.",
-	reason.QuotaReached:         "Its team has reached its quota; it starts when the team's other tasks end or the quota is raised.",
+	reason.QuotaReached:         "Its team or workspace has reached its quota; it starts when other tasks of it end or the quota is raised.",
 	reason.ExceedsLargestWorker: "It asks for more than any worker has, so it can never run; ask for less or add a larger worker.",
 	reason.ExceedsQuota:         "It asks for more than its team's whole quota, so it can never run; ask for less or raise the quota.",
 	reason.ExceedsCell:          "Its tasks together ask for more than all workers have, so they can never run at once; ask for less or add workers.",
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -82,17 +82,21 @@
 	if !ok {
 		end = time.Now().Add(unlimitedSearch)
 	}
-	return l.CallWithin(ctx, end, request)
+	reply, _, err := l.CallWithin(ctx, end, request)
+	return reply, err
 }
 
 // CallWithin is Call, but it gives up at searchEnd if no attempt can have reached a leader by then: the caller knows
 // that the request had no effect. An attempt that has begun is not cut off by searchEnd, and after one that may have
-// reached a leader, further attempts follow until the context ends.
-func (l *Locator) CallWithin(ctx context.Context, searchEnd time.Time, request *wire.Request) (*wire.Reply, error) {
+// reached a leader, further attempts follow until the context ends. resent is set with a reply when an earlier
+// attempt may have reached a leader too, and may still take effect.
+func (l *Locator) CallWithin(
+	ctx context.Context, searchEnd time.Time, request *wire.Request,
+) (reply *wire.Reply, resent bool, err error) {
 	var unanswered error
 	for redirects := 0; ; {
 		address := l.address()
-		reply, err := l.attempt(ctx, address, request)
+		reply, err = l.attempt(ctx, address, request)
 		refusal := reply.GetRefusal()
 		switch {
 		case err != nil:
@@ -103,7 +107,7 @@
 			l.clearLeader(address)
 		case refusal == nil:
 			l.setLeader(address)
-			return reply, nil
+			return reply, unanswered != nil, nil
 		case refusal.GetReason() == reason.NotLeader.String() && refusal.GetLeaderAddress() != "":
 			l.setLeader(refusal.GetLeaderAddress())
 			redirects++
@@ -114,15 +118,15 @@
 		case refusal.GetReason() == reason.NoLeader.String() || refusal.GetReason() == reason.NotLeader.String():
 			l.clearLeader(address)
 		default:
-			return nil, &RefusedError{Refusal: refusal}
+			return nil, false, &RefusedError{Refusal: refusal}
 		}
 		end, ok := ctx.Deadline()
 		if unanswered == nil && time.Until(searchEnd) < retryDelay || ok && time.Until(end) < retryDelay+minAttemptTime {
-			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
+			return nil, false, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
 		}
 		select {
 		case <-ctx.Done():
-			return nil, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
+			return nil, false, errors.Join(ErrNoLeader, ctx.Err(), unanswered)
 		case <-time.After(retryDelay):
 		}
 	}
--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -57,7 +57,8 @@
 	request := &wire.Request{Body: &wire.Request_Queue{Queue: call}}
 	uncertain := false
 	for {
-		reply, err := c.leader.CallWithin(ctx, searchEnd, request)
+		reply, resent, err := c.leader.CallWithin(ctx, searchEnd, request)
+		uncertain = uncertain || resent && mutates(call)
 		if err != nil {
 			return c.failureReply(call, err, uncertain)
 		}
@@ -65,7 +66,7 @@
 		answer := reply.GetQueue()
 		if answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN &&
 			answer.GetOutcome() != wire.QueueOutcome_QUEUE_OUTCOME_UNSPECIFIED {
-			if uncertain && answer.GetOutcome() == wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY {
+			if uncertain && claimsNoEffect(answer.GetOutcome()) {
 				// An earlier attempt may still take effect.
 				answer.Outcome = wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN
 			}
@@ -129,6 +130,17 @@
 	return max(minRetryAfter, min(maxRetryAfter, expected/expectedTimeDivisor, outage))
 }
 
+// claimsNoEffect reports whether an outcome tells a caller that its change was not made.
+func claimsNoEffect(outcome wire.QueueOutcome) bool {
+	switch outcome {
+	case wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE,
+		wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY, wire.QueueOutcome_QUEUE_OUTCOME_INVALID:
+		return true
+	default:
+		return false
+	}
+}
+
 // mutates reports whether a call may change state.
 func mutates(call *wire.QueueCall) bool {
 	switch call.GetBody().(type) {
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -80,6 +80,16 @@
 			return replied(ok)
 		}
 	}
+	// lostThen does not answer the first call, and answers the next ones with an outcome.
+	lostThen := func(outcome wire.QueueOutcome) messenger.Handler {
+		var calls atomic.Int64
+		return func(ctx context.Context, request *wire.Request) *wire.Reply {
+			if calls.Add(1) == 1 {
+				return silent(ctx, request)
+			}
+			return replied(outcome)
+		}
+	}
 	tests := []struct {
 		name    string
 		handler messenger.Handler
@@ -92,6 +102,11 @@
 		{"no answer to a read", silent, read(), turnedAway},
 		{"unknown, then turned away", unknownThenTurnedAway(), submit(), unknown},
 		{"unknown, then stored", unknownThenOK(), submit(), ok},
+		{"answer lost, then stored", lostThen(ok), submit(), ok},
+		{"answer lost, then turned away", lostThen(turnedAway), submit(), unknown},
+		{"answer lost, then no queue", lostThen(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE), submit(), unknown},
+		{"answer lost, then key revoked", lostThen(wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY), submit(), unknown},
+		{"answer to a read lost, then turned away", lostThen(turnedAway), read(), turnedAway},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
