--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -83,9 +83,10 @@
 	// lostThen does not answer the first call, and answers the next ones with an outcome.
 	lostThen := func(outcome wire.QueueOutcome) messenger.Handler {
 		var calls atomic.Int64
-		return func(ctx context.Context, request *wire.Request) *wire.Reply {
+		return func(ctx context.Context, _ *wire.Request) *wire.Reply {
 			if calls.Add(1) == 1 {
-				return silent(ctx, request)
+				<-ctx.Done()
+				return nil
 			}
 			return replied(outcome)
 		}
