--- a/controld/internal/server/queries.go
+++ b/controld/internal/server/queries.go
@@ -16,6 +16,9 @@
 	"list":    func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.List() },
 	"waiting": func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.Waiting() },
 	"queues":  func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.Queues() },
+	"workspaces": func(e *explainer.Explainer, _ *requestBody) (int, any) {
+		return http.StatusOK, e.Workspaces()
+	},
 	"hosts":   func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.Hosts() },
 	"targets": func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.Targets() },
 	"history": func(e *explainer.Explainer, _ *requestBody) (int, any) { return http.StatusOK, e.History() },
--- a/flamingoctl/arguments.go
+++ b/flamingoctl/arguments.go
@@ -46,21 +46,22 @@
 }
 
 type arguments struct {
-	Status    *noArguments      `arg:"subcommand:status" help:"say whether everything is in order; problems come first"`
-	List      *noArguments      `arg:"subcommand:list" help:"list all tasks"`
-	Waiting   *noArguments      `arg:"subcommand:waiting" help:"list the jobs that wait, for what, and since when"`
-	Why       *explainArgument  `arg:"subcommand:why" help:"explain a row, a task, a submitted job, a worker or a target"`
-	Queues    *noArguments      `arg:"subcommand:queues" help:"list the queues: what waits, what runs and for how long"`
-	Hosts     *noArguments      `arg:"subcommand:hosts" help:"list control members, entry processes and workers"`
-	Targets   *noArguments      `arg:"subcommand:targets" help:"list the targets and who owns them"`
-	History   *noArguments      `arg:"subcommand:history" help:"list the accepted changes"`
-	Plan      *fileArgument     `arg:"subcommand:plan" help:"show what a sheet would start, change and stop"`
-	Apply     *applyCommand     `arg:"subcommand:apply" help:"put a sheet in force"`
-	Configure *configureCommand `arg:"subcommand:configure" help:"put a configuration in force"`
-	Cancel    *cancelCommand    `arg:"subcommand:cancel" help:"cancel a row"`
-	Drain     *workerCommand    `arg:"subcommand:drain" help:"move all tasks off a worker"`
-	Undrain   *workerCommand    `arg:"subcommand:undrain" help:"let a worker take tasks again"`
-	Forget    *entryCommand     `arg:"subcommand:forget-entry" help:"free the slots reserved for an entry process whose host never returns"`
+	Status     *noArguments      `arg:"subcommand:status" help:"say whether everything is in order; problems come first"`
+	List       *noArguments      `arg:"subcommand:list" help:"list all tasks"`
+	Waiting    *noArguments      `arg:"subcommand:waiting" help:"list the jobs that wait, for what, and since when"`
+	Why        *explainArgument  `arg:"subcommand:why" help:"explain a row, a task, a submitted job, a worker or a target"`
+	Queues     *noArguments      `arg:"subcommand:queues" help:"list the queues: what waits, what runs and for how long"`
+	Workspaces *noArguments      `arg:"subcommand:workspaces" help:"list the workspaces: what they use, their limits, and what waits"`
+	Hosts      *noArguments      `arg:"subcommand:hosts" help:"list control members, entry processes and workers"`
+	Targets    *noArguments      `arg:"subcommand:targets" help:"list the targets and who owns them"`
+	History    *noArguments      `arg:"subcommand:history" help:"list the accepted changes"`
+	Plan       *fileArgument     `arg:"subcommand:plan" help:"show what a sheet would start, change and stop"`
+	Apply      *applyCommand     `arg:"subcommand:apply" help:"put a sheet in force"`
+	Configure  *configureCommand `arg:"subcommand:configure" help:"put a configuration in force"`
+	Cancel     *cancelCommand    `arg:"subcommand:cancel" help:"cancel a row"`
+	Drain      *workerCommand    `arg:"subcommand:drain" help:"move all tasks off a worker"`
+	Undrain    *workerCommand    `arg:"subcommand:undrain" help:"let a worker take tasks again"`
+	Forget     *entryCommand     `arg:"subcommand:forget-entry" help:"free the slots reserved for an entry process whose host never returns"`
 
 	Entries string `arg:"--entries,env:FLAMINGO_ENTRIES" help:"addresses of entry processes, separated by commas" placeholder:"LIST"`
 	Token   string `arg:"--token-file,env:FLAMINGO_TOKEN_FILE" help:"file that holds the operator's token" placeholder:"FILE"`
