replicator, controller: count the silence of a member from its admission

Cause: until its first answer, a member's silence counted from the entry in assumedContact, which only the members at the leader's start have. For a node admitted later the missing entry was read as time 0, so that only the missed heartbeats were left of the rule: a host that came back with an empty disk was removed 1.1 s after its admission when it had not answered, and its process ended with ErrRemoved (FD2008, code 1).

Ruled out: two ids of one host, the order in predecessor, an answer from a truncated entry, and the emptying of the folder (docs/incidents/ admitted-member.md).

Change: replicator.Silence counts from the newest answered message or, before the first answer, from when this leader began to send to the member; the time is part of the member's progress. assumedContact is gone.

--- a/controld/internal/controller/controller.go
+++ b/controld/internal/controller/controller.go
@@ -122,10 +122,8 @@
 	// leaves holds the messages of leaving workers that are not answered yet.
 	leaves []pendingLeave
 	// inFlight holds the keys of events that are queued or proposed and not applied yet.
-	inFlight map[string]bool
-	// assumedContact maps a member's id to the time that counts as its last contact until it answers this leader.
-	assumedContact map[string]time.Duration
-	leaderTerm     uint64
+	inFlight   map[string]bool
+	leaderTerm uint64
 	// leaderSince is when this node became the leader of leaderTerm.
 	leaderSince time.Duration
 
--- a/controld/internal/controller/group_test.go
+++ b/controld/internal/controller/group_test.go
@@ -75,6 +75,9 @@
 	dir     string
 	log     bytes.Buffer
 	down    bool
+	// unheardUntil is until when one-way messages to the node are lost, as after a loss of power: the others notice late
+	// that their connections to its address are dead. Its own calls reach them.
+	unheardUntil time.Duration
 	// fullFiles is the prefix of the names of the files that cannot grow for lack of disk space; opens is the number of
 	// opened files; freeBytes is the reported free space.
 	fullFiles string
@@ -327,7 +330,7 @@
 	messages := g.messages
 	g.messages = nil
 	for _, d := range messages {
-		if node := g.nodeAt(d.address); node != nil && !node.down {
+		if node := g.nodeAt(d.address); node != nil && !node.down && g.now >= node.unheardUntil {
 			g.now += 50 * time.Microsecond
 			node.ctl.handle(peerEvent{d.message}, g.now)
 			node.runOnce()
--- a/controld/internal/controller/leader.go
+++ b/controld/internal/controller/leader.go
@@ -49,10 +49,6 @@
 	c.checkpointRequests = map[uint64]time.Duration{}
 	c.reportedAt = map[uint64]time.Duration{}
 	c.decisionsInLog, c.workerEvents, c.inFlight = false, nil, map[string]bool{}
-	c.assumedContact = map[string]time.Duration{}
-	for _, m := range c.repl.Membership().GetMembers() {
-		c.assumedContact[m.GetId()] = now
-	}
 	c.startScheduler(now)
 	logger.LeaderStarted.Log(c.cfg.Logger, "term", c.repl.Term())
 }
--- a/controld/internal/controller/membership.go
+++ b/controld/internal/controller/membership.go
@@ -152,16 +152,7 @@
 	if c.cfg.Queues != nil {
 		return !c.isAway(id)
 	}
-	return id == c.repl.ID() || c.silence(id, now) < nameSilenceTimeouts*c.cfg.ElectionMax
-}
-
-// silence returns how long ago this leader sent the newest message that a member has answered.
-func (c *Controller) silence(id string, now time.Duration) time.Duration {
-	_, heard, acked := c.repl.MatchIndex(id)
-	if !acked {
-		heard = c.assumedContact[id]
-	}
-	return now - heard
+	return id == c.repl.ID() || c.repl.Silence(id, now) < nameSilenceTimeouts*c.cfg.ElectionMax
 }
 
 // isAway reports whether another node may take the place of a member: it is about to stop, or it has answered nothing
@@ -198,7 +189,7 @@
 		}
 		if away := c.voterAway(members); away != nil {
 			logger.MemberReplaced.Log(c.cfg.Logger, "voter", away.GetName(), "voter_id", away.GetId(),
-				"leaving", c.repl.IsLeaving(away.GetId()), "silent_ms", c.silence(away.GetId(), now).Milliseconds(),
+				"leaving", c.repl.IsLeaving(away.GetId()), "silent_ms", c.repl.Silence(away.GetId(), now).Milliseconds(),
 				"successor", m.GetName())
 			c.proposeMembership(now, withVoter(members, away.GetId(), false))
 			return
@@ -231,7 +222,7 @@
 		return ""
 	}
 	for _, m := range members {
-		if !m.GetVoter() && c.isAway(m.GetId()) && c.silence(m.GetId(), now) > removeAfter {
+		if !m.GetVoter() && c.isAway(m.GetId()) && c.repl.Silence(m.GetId(), now) > removeAfter {
 			return m.GetId()
 		}
 	}
--- a/controld/internal/controller/monitoring.go
+++ b/controld/internal/controller/monitoring.go
@@ -23,7 +23,7 @@
 func (c *Controller) silentMembers(now time.Duration) []string {
 	var silent []string
 	for _, m := range c.repl.Membership().GetMembers() {
-		if m.GetId() != c.repl.ID() && c.silence(m.GetId(), now) >= memberSilenceThreshold {
+		if m.GetId() != c.repl.ID() && c.repl.Silence(m.GetId(), now) >= memberSilenceThreshold {
 			silent = append(silent, m.GetId())
 		}
 	}
--- a/controld/internal/controller/replacement_test.go
+++ b/controld/internal/controller/replacement_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"path/filepath"
 	"testing"
 	"time"
@@ -185,3 +186,78 @@
 	g.run(3 * time.Second)
 	require.True(t, g.leader().ctl.findMember(id).GetVoter())
 }
+
+// Guards against a host that was just admitted and is removed for a silence that began before: it had lost power and its
+// disk, the connections of the leader to its address were still dead, and its process ended with ErrRemoved.
+func TestAdmittedNodeIsNotRemoved(t *testing.T) {
+	tests := []struct {
+		name    string
+		unheard time.Duration
+		disturb func(g *group)
+	}{
+		{"for less than an election timeout", 700 * time.Millisecond, nil},
+		{"for longer than an election timeout", 1500 * time.Millisecond, nil},
+		{"until the keep-alive probes have failed", 4 * time.Second, nil},
+		{"another node leads in the meantime", 4 * time.Second, func(g *group) {
+			g.run(2500 * time.Millisecond)
+			former := g.awaitLeader()
+			former.down = true
+			g.run(1500 * time.Millisecond)
+			former.down = false
+		}},
+		{"the leader is frozen in the meantime", 4 * time.Second, func(g *group) {
+			g.run(2500 * time.Millisecond)
+			frozen := g.awaitLeader()
+			frozen.down = true
+			g.run(400 * time.Millisecond)
+			frozen.down = false
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFakeFleet(t, 1, 0)
+			config := f.config()
+			config.MinVoters = 5
+			g := newGroupWithTiming(t, 5, config, deployedTiming)
+			f.group = g
+			g.callUntilOK(configureCall(1))
+			node := g.others(g.leader())[0]
+			former := node.ctl.repl.ID()
+			node.down = true
+			g.run(1500 * time.Millisecond)
+			g.restart(node, filepath.Join(t.TempDir(), "data"))
+			id := node.ctl.repl.ID()
+			require.NotEqual(t, former, id)
+			node.unheardUntil = g.now + tt.unheard
+			if tt.disturb != nil {
+				tt.disturb(g)
+			}
+			g.runUntil(tt.unheard+catchUpTime, "the admitted node votes", func() bool {
+				require.NoError(t, node.stopped)
+				leader := g.leader()
+				return leader != nil && leader.ctl.findMember(id).GetVoter()
+			})
+			require.Nil(t, g.awaitLeader().ctl.findMember(former), "its predecessor is removed")
+			require.Len(t, g.voters(), 5)
+		})
+	}
+}
+
+// Guards against admitted nodes that are never removed: one that has not answered for removeAfter is, so that hosts that
+// come and go do not fill the membership.
+func TestSilentAdmittedNodeIsRemovedInTheEnd(t *testing.T) {
+	f := newFakeFleet(t, 1, 0)
+	g := newGroupWithTiming(t, 3, f.config(), deployedTiming)
+	f.group = g
+	g.callUntilOK(configureCall(1))
+	g.addSpare("spare", "10.0.1.9:1")
+	spare := g.nodes[3]
+	id := spare.ctl.repl.ID()
+	spare.unheardUntil = math.MaxInt64
+	g.runUntil(time.Second, "the node is admitted", func() bool { return g.leader().ctl.findMember(id) != nil })
+	spare.down = true
+	g.run(removeAfter - time.Second)
+	require.NotNil(t, g.leader().ctl.findMember(id))
+	g.run(2 * time.Second)
+	require.Nil(t, g.leader().ctl.findMember(id))
+}
--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -77,11 +77,11 @@
 }
 
 // progressOf returns the progress of a member and creates it on first use.
-func (r *Replicator) progressOf(id string) *progress {
+func (r *Replicator) progressOf(id string, now time.Duration) *progress {
 	p := r.peers[id]
 	if p == nil {
 		// The first message checks the follower's log at the entry before this term's first one.
-		p = &progress{next: r.termStartIndex}
+		p = &progress{next: r.termStartIndex, addedAt: now}
 		r.peers[id] = p
 	}
 	return p
@@ -95,7 +95,7 @@
 		if m.GetId() == r.cfg.ID {
 			continue
 		}
-		p := r.progressOf(m.GetId())
+		p := r.progressOf(m.GetId(), now)
 		if p.inFlight && now-p.sentAt >= 2*r.cfg.Heartbeat {
 			// The message or its reply is taken as lost.
 			p.inFlight = false
@@ -116,7 +116,7 @@
 		if m.GetId() == r.cfg.ID {
 			continue
 		}
-		if p := r.progressOf(m.GetId()); !p.inFlight && p.next <= r.log.lastIndex() {
+		if p := r.progressOf(m.GetId(), now); !p.inFlight && p.next <= r.log.lastIndex() {
 			r.sendNext(now, m.GetId(), p)
 		}
 	}
@@ -241,7 +241,7 @@
 		case m.GetId() == r.cfg.ID:
 			matches = append(matches, r.persisted)
 		default:
-			matches = append(matches, r.progressOf(m.GetId()).match)
+			matches = append(matches, r.progressOf(m.GetId(), now).match)
 		}
 	}
 	if len(matches) == 0 {
--- a/core/replicator/lease_test.go
+++ b/core/replicator/lease_test.go
@@ -183,3 +183,24 @@
 	r.MarkPersisted(2, 3, now)
 	require.EqualValues(t, 2, r.persisted)
 }
+
+// Guards against the silence of a member that this leader has just added counting from before it was added: the member was
+// removed before it could answer.
+func TestSilenceBeginsWhenTheMemberIsAdded(t *testing.T) {
+	r, now := newLeader(t)
+	now += simHeartbeat
+	r.Step(now, appendReply(now))
+	next := proto.Clone(r.Membership()).(*wire.Membership)
+	next.Members = append(next.Members, &wire.Member{Id: "d"})
+	_, _, err := r.ProposeMembership(now, next)
+	require.NoError(t, err)
+	added := now
+	now += simHeartbeat
+	require.Equal(t, simHeartbeat, r.Silence("d", now))
+	require.Equal(t, 2*simHeartbeat, r.Silence("c", now), "it has not answered since the term began")
+	reply := appendReply(added)
+	reply.From = "d"
+	r.Step(now+simHeartbeat, reply)
+	require.Equal(t, 2*simHeartbeat, r.Silence("d", now+simHeartbeat), "since the answered message was sent")
+	require.Zero(t, r.Silence("unknown", now))
+}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -110,8 +110,10 @@
 	// lastInFlight is the index of the last entry in flight, or math.MaxUint64 for a snapshot chunk.
 	lastInFlight uint64
 	// ackedSentAt is the leader's time at which it sent the newest message that the member has answered.
-	ackedSentAt    time.Duration
-	acked          bool
+	ackedSentAt time.Duration
+	acked       bool
+	// addedAt is when this leader began to send to the member: when its term began, or when it added the member.
+	addedAt        time.Duration
 	snapshotOffset uint64
 	snapshotIndex  uint64
 	diskFull       bool
@@ -275,6 +277,20 @@
 	return p.match, p.ackedSentAt, p.acked
 }
 
+// Silence returns for how long a member has answered nothing: since this node sent the newest message that the member has
+// answered, or, before the first answer, since it began to send to the member. It is meaningful only on the leader.
+func (r *Replicator) Silence(id string, now time.Duration) time.Duration {
+	p := r.peers[id]
+	switch {
+	case p == nil:
+		return 0
+	case p.acked:
+		return now - p.ackedSentAt
+	default:
+		return now - p.addedAt
+	}
+}
+
 // MissedHeartbeats returns for how many heartbeat intervals in a row a member has answered nothing. Unlike the time
 // since its last answer, the number does not grow while this node itself is suspended. It is meaningful only on the
 // leader.
