batch: learn the run times of each queue from the ends of runs

Cause: declared run times are off by a factor with a log deviation of up to 0.9, and nothing learned how long the tasks of a queue run.

Ruled out: floating point (nodes of several architectures apply the same commands) and one weight for each task (the tasks of a step differ less than steps, so 25 tasks of one step would count as 25 independent samples).

--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"flamingodrift.example/controld/internal/resource"
+	"flamingodrift.example/controld/internal/runtimeestimator"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
@@ -25,6 +26,8 @@
 	accepted uint64
 	// unconfirmed holds the crashes that a later report may confirm.
 	unconfirmed []unconfirmedCrash
+	// runtimes learns the run times of each queue's tasks.
+	runtimes *runtimeestimator.Estimator
 	// finished collects the ids of the jobs that ended since the last call of TakeFinished.
 	finished []string
 }
@@ -33,6 +36,7 @@
 func New() *Batch {
 	return &Batch{
 		queues: map[string]*wire.Queue{}, incarnations: map[string]*Incarnation{}, jobs: map[string]*Job{},
+		runtimes: runtimeestimator.New(),
 	}
 }
 
@@ -114,6 +118,9 @@
 // Incarnations returns the present incarnations by worker. The map must not be changed.
 func (b *Batch) Incarnations() map[string]*Incarnation { return b.incarnations }
 
+// Runtimes returns what is known of the run times of each queue's tasks. It must not be changed.
+func (b *Batch) Runtimes() *runtimeestimator.Estimator { return b.runtimes }
+
 // Pending returns the number of jobs of a queue that wait for their first start.
 func (b *Batch) Pending(queue string) int {
 	count := 0
@@ -267,6 +274,7 @@
 	}
 	switch end.GetOutcome() {
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
+		b.recordRunTime(t, end.GetRanMs())
 		t.step.markDone(t)
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
 		t.step.recordFailure(t, worker)
@@ -289,6 +297,19 @@
 	}
 }
 
+// recordRunTime adds the length of a successful run to the statistics of its queue, if it is known. The members of a gang
+// end together and count once.
+func (b *Batch) recordRunTime(t *Task, ranMs uint32) {
+	if t.done || ranMs == 0 {
+		return
+	}
+	tasks := t.step.spec.GetCount()
+	if t.step.spec.GetGang() {
+		tasks = 1
+	}
+	b.runtimes.Record(t.step.job.queue.GetName(), t.step.spec.GetEstimateMs(), ranMs, tasks)
+}
+
 // endIncarnation removes an incarnation that has ended and cuts its runs short.
 func (b *Batch) endIncarnation(gone *wire.WorkerLife, effect *Effect) {
 	inc := b.incarnations[gone.GetWorker()]
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -5,12 +5,13 @@
 	"maps"
 	"slices"
 
+	"flamingodrift.example/controld/internal/runtimeestimator"
 	"flamingodrift.example/core/wire"
 )
 
 // State encodes the Batch for a snapshot.
 func (b *Batch) State() *wire.BatchState {
-	state := &wire.BatchState{Config: b.config, Accepted: b.accepted}
+	state := &wire.BatchState{Config: b.config, Accepted: b.accepted, Runtimes: b.runtimes.State()}
 	for _, name := range slices.Sorted(maps.Keys(b.queues)) {
 		state.RetiredQueues = append(state.RetiredQueues, b.queues[name])
 	}
@@ -71,7 +72,7 @@
 // Restore decodes a Batch from a snapshot. A nil state gives an empty Batch.
 func Restore(state *wire.BatchState) *Batch {
 	b := New()
-	b.accepted = state.GetAccepted()
+	b.accepted, b.runtimes = state.GetAccepted(), runtimeestimator.Restore(state.GetRuntimes())
 	for _, q := range state.GetRetiredQueues() {
 		b.queues[q.GetName()] = q
 	}
