scheduler: use learned run times if queues.learn_run_times is set

Cause: order, objective, admission, remaining times and worker speed rest on declared run times, which are off by a factor with a log deviation of up to 0.9.

Ruled out: the leader's clock for the length of a run (it counts the delays of orders and reports and pauses of the leader), and worker speeds without a reference (if all lengths are expected too short, all speeds fall, the lengths normalised by them follow, and so on).

Change: the leader adds ran_ms to the end of a done run that it started itself without a checkpoint, measured on the worker's clock and without a gang's wait for its members. speedestimator learns each worker's speed against the average of all runs. With the setting on, expected lengths replace declared ones, the ended tasks of a step refine the rest, and overdue runs are expected to go on for a share of their run time so far. Metric flamingodrift_run_time_ratio shows how far declared and learned lengths are off. Setting off: as before.

--- a/controld/internal/scheduler/admit.go
+++ b/controld/internal/scheduler/admit.go
@@ -42,7 +42,7 @@
 	wait := time.Duration(float64(backlog)/(float64(capacity)*usableCapacityShare)*1000) * time.Millisecond
 	var totalMs int64
 	for _, step := range job.GetSteps() {
-		totalMs += int64(step.GetEstimateMs())
+		totalMs += sc.expectedMs(queue.GetName(), step)
 	}
 	objective := time.Duration(queue.GetStretch()*float64(totalMs))*time.Millisecond +
 		time.Duration(queue.GetAllowanceMs())*time.Millisecond
@@ -64,7 +64,7 @@
 			continue
 		}
 		for _, step := range j.Steps() {
-			sum += int64(step.Waiting()) * step.Need().CPU() * int64(step.Spec().GetEstimateMs()) / 1000
+			sum += int64(step.Waiting()) * step.Need().CPU() * sc.stepMs(step) / 1000
 		}
 	}
 	return sum
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -193,7 +193,7 @@
 		r.sessions = append(r.sessions, s)
 		w := allocator.Worker{
 			Capacity: s.incarnation.Capacity(), Free: s.incarnation.Free(), UrgentCPU: s.incarnation.UrgentUsed().CPU(),
-			Rack: s.incarnation.Report().GetRack(), Speed: s.speed.factor(), Unproven: s.failureStreak >= unprovenStreak,
+			Rack: s.incarnation.Report().GetRack(), Speed: sc.speedOf(s), Unproven: s.failureStreak >= unprovenStreak,
 		}
 		r.workers = append(r.workers, w)
 	}
@@ -306,7 +306,7 @@
 	d := allocator.Demand{
 		Priority: int(queue.GetPriority()), Need: step.Need(), Gang: spec.GetGang(), OneRack: spec.GetOneRack(),
 		DataRack: spec.GetDataRack(), MostPerWorker: int(spec.GetMostPerWorker()),
-		Length: time.Duration(spec.GetEstimateMs()) * time.Millisecond,
+		Length: sc.stepLength(step),
 	}
 	d.StartBy, d.Lateness, d.Reserved = w.startBy, w.lateness, r.reservedShares(sc.reservations[step])
 	for _, t := range w.tasks {
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -20,7 +20,10 @@
 func (sc *Scheduler) startRun(t *batch.Task, now time.Duration) {
 	incarnation := t.Incarnation()
 	s := sc.sessionFor(incarnation, now)
-	r := &run{number: t.Run(), startUnanswered: true, startedAt: now, progressAt: now, checkpoint: t.Checkpoint()}
+	r := &run{
+		number: t.Run(), startUnanswered: true, startedAt: now, progressAt: now,
+		checkpoint: t.Checkpoint(), fresh: t.Checkpoint() == "",
+	}
 	s.runs[t] = r
 	if !s.reachable() {
 		sc.endRun(s, t, r, cutShort(r.checkpoint, executor.NotSent.String()), now)
@@ -89,6 +92,9 @@
 	switch status {
 	case executor.Done:
 		sc.confirmRun(s, r, now)
+		if ownAnswer && r.startResends == 0 {
+			r.startAnswered, r.startAnsweredAt, r.startClock = true, now, answer.Clock
+		}
 	case executor.Unknown:
 		logger.StartUnanswered.Log(sc.cfg.Logger, "worker", s.incarnation.Worker(), "job", o.Order.Run.Job,
 			"step", o.Order.Run.Step, "index", o.Order.Run.Index, "run", o.Order.Run.Run, "resent", r.startResends)
@@ -182,16 +188,25 @@
 	minProgressPercent = 10
 	// overrunShare is the remaining time of a run that has exceeded its estimate, as a share of its runtime so far.
 	overrunShare = 0.2
+	// learnedOverrunShare replaces overrunShare for a learned length: a run whose length has a log deviation of 0.5 and that
+	// has taken its mean takes a third of that more on average.
+	learnedOverrunShare = 0.35
 )
 
 // remainingTime estimates the remaining time of a run from its progress or, early in the run, from the job's estimate.
 func (sc *Scheduler) remainingTime(t *batch.Task, r *run, now time.Duration) time.Duration {
 	ran := now - r.startedAt
-	total := time.Duration(t.Step().Spec().GetEstimateMs()) * time.Millisecond
+	total, share := sc.stepLength(t.Step()), overrunShare
+	if sc.cfg.LearnRunTimes {
+		share = learnedOverrunShare
+		if s := sc.currentSession(t.Incarnation()); s != nil {
+			total = time.Duration(float64(total) / sc.speedOf(s))
+		}
+	}
 	if r.percent >= minProgressPercent {
 		total = (r.progressAt - r.startedAt) * 100 / time.Duration(r.percent)
 	}
-	return max(total-ran, time.Duration(overrunShare*float64(ran)))
+	return max(total-ran, time.Duration(share*float64(ran)))
 }
 
 // brokenGang reports whether some but not all members of an unfinished gang have a run.
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -136,9 +137,13 @@
 		})
 	}
 	r.batch.Apply(&wire.QueueCommand{Configure: config})
+	speeds := []float64{0.8, 1, 1.25}
+	if l.speeds != nil {
+		speeds = l.speeds
+	}
 	for i := range l.workers {
 		w := &replayWorker{
-			name: fmt.Sprintf("w%03d", i), speed: []float64{0.8, 1, 1.25}[i%3], startedUnixMs: 1,
+			name: fmt.Sprintf("w%03d", i), speed: speeds[i%len(speeds)], startedUnixMs: 1,
 			address: fmt.Sprintf("a%03d:1", i), runs: map[executor.Run]*replayRun{},
 		}
 		r.workers[w.name] = w
@@ -161,6 +166,7 @@
 		Lease: 4500 * time.Millisecond, LongestLease: 10 * time.Second, RenewWait: time.Second,
 		AnswerTimeout: 400 * time.Millisecond, StartLease: 1500 * time.Millisecond, ClockDriftPercent: 2,
 		EndedJobRetention: time.Hour, Logger: slog.New(slog.DiscardHandler), Allocator: replayPolicy,
+		LearnRunTimes: r.load.learn,
 	}, r.batch, term, r.now)
 	for i := range r.load.helpers {
 		r.RecordHelperBeat(&wire.HelperBeat{Name: fmt.Sprintf("h%02d", i), Address: "a"}, r.now)
@@ -401,6 +407,9 @@
 		task: t, number: k.Run, arrivedAt: r.now, restored: restored,
 		runTime: time.Duration(float64(t.length) / w.speed),
 	}
+	if r.isSlow(t, k) {
+		run.runTime *= slowRunFactor
+	}
 	w.runs[k] = run
 	if !t.gang {
 		run.running, run.runningSince = true, r.now
@@ -416,6 +425,25 @@
 	return r.answer(executor.Done)
 }
 
+// isSlow reports whether a run takes slowRunFactor times as long. It depends on the run alone, so that it is the same
+// however the Scheduler decides; the members of a gang share it.
+func (r *replay) isSlow(t *replayTask, run executor.Run) bool {
+	if t.gang {
+		run.Index = 0
+	}
+	hash := fnv.New64a()
+	_, _ = fmt.Fprint(hash, run.Job, run.Step, run.Index, run.Run)
+	return rand.New(rand.NewPCG(hash.Sum64(), 5)).Float64() < r.load.slowRuns
+}
+
+// declaredLength draws the declared length of a step of an actual length.
+func (r *replay) declaredLength(length time.Duration) time.Duration {
+	if r.load.declaredError > 0 {
+		return time.Duration(float64(length) * math.Exp(r.load.declaredError*r.rand.NormFloat64()))
+	}
+	return time.Duration(r.draw(float64(length), 0.2, 3))
+}
+
 // crash ends the process of a worker; its successor has another name and the same address.
 func (r *replay) crash(w *replayWorker, before int) {
 	if w.crashed {
@@ -668,7 +696,7 @@
 		length := time.Duration(r.draw(float64(kind.runTime), 0.5, 2.5))
 		step := &wire.JobStep{
 			Count: uint32(count), CpuMillis: int64(cores * 1000), MemoryMb: int64(cores * kind.memoryMB), Gang: gang && count > 1,
-			Checkpoints: checkpoints, EstimateMs: uint32(time.Duration(r.draw(float64(length), 0.2, 3)).Milliseconds()),
+			Checkpoints: checkpoints, EstimateMs: uint32(max(1, r.declaredLength(length).Milliseconds())),
 		}
 		if number > 0 {
 			step.After = []uint32{uint32(number - 1)}
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -87,8 +87,18 @@
 	// handover is when another leader takes over; 0 means never.
 	handover time.Duration
 	length   time.Duration
+	// learn makes the Scheduler use the run times that it learns.
+	learn bool
+	// declaredError is the log deviation of the declared from the actual lengths; 0 means 0.2 without outliers.
+	declaredError float64
+	// slowRuns is the share of the runs that take slowRunFactor times as long. The objectives do not allow for it.
+	slowRuns float64
+	// speeds are those of the workers, in turn; nil means the usual ones.
+	speeds []float64
 }
 
+const slowRunFactor = 7
+
 // kindResult is the result of a kind. Its value share counts jobs that met their objective in full and jobs that took
 // up to three times their objective at a fifth.
 type kindResult struct {
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -108,15 +108,17 @@
 			continue
 		}
 		sc.recordOutcome(s, t, r, e.Outcome, now)
-		outcome := wire.RunOutcome_RUN_OUTCOME_CUT_SHORT
+		outcome, ranMs := wire.RunOutcome_RUN_OUTCOME_CUT_SHORT, uint32(0)
 		switch e.Outcome {
 		case executor.OutcomeDone:
-			outcome = wire.RunOutcome_RUN_OUTCOME_DONE
+			outcome, ranMs = wire.RunOutcome_RUN_OUTCOME_DONE, sc.learn(s, t, r, now)
 		case executor.OutcomeFailed:
 			outcome = wire.RunOutcome_RUN_OUTCOME_FAILED
 		default:
 		}
-		sc.endRun(s, t, r, runResult{outcome: outcome, checkpoint: e.Checkpoint, reason: e.Outcome.String()}, now)
+		sc.endRun(s, t, r, runResult{
+			outcome: outcome, checkpoint: e.Checkpoint, reason: e.Outcome.String(), ranMs: ranMs,
+		}, now)
 	}
 	if s.listedEnd > s.committedEnd {
 		// Until its ended runs are acknowledged, the worker would answer a renewal immediately with the same list.
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/speedestimator"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
@@ -42,6 +43,8 @@
 	Logger            *slog.Logger
 	// Meter receives the metrics of jobs and runs. It may be nil.
 	Meter Meter
+	// LearnRunTimes replaces the declared lengths of tasks by those learned from the queue's ended runs.
+	LearnRunTimes bool
 	// Allocator configures the placement policy.
 	Allocator allocator.Config
 }
@@ -54,14 +57,18 @@
 	JobEnded(queue, phase string, took time.Duration)
 	// RunEnded counts an ended run by the reason for its end.
 	RunEnded(reason string)
+	// RunTimeCompared records the length of a successful run divided by what it was expected to take, and what that
+	// expectation is based on: "declared" or "learned".
+	RunTimeCompared(queue, basis string, ratio float64)
 }
 
 // noopMeter discards all metrics.
 type noopMeter struct{}
 
-func (noopMeter) JobStarted(string, time.Duration)       {}
-func (noopMeter) JobEnded(string, string, time.Duration) {}
-func (noopMeter) RunEnded(string)                        {}
+func (noopMeter) JobStarted(string, time.Duration)        {}
+func (noopMeter) JobEnded(string, string, time.Duration)  {}
+func (noopMeter) RunEnded(string)                         {}
+func (noopMeter) RunTimeCompared(string, string, float64) {}
 
 // Scheduler holds the leader's state that is not in the replicated log. It is created for one term and used only by
 // the control goroutine.
@@ -85,6 +92,10 @@
 	aloneSince map[*batch.Task]time.Duration
 	ended      []endedJob
 	speeds     map[string]*workerSpeed
+	// speedEstimator holds the workers' speeds as learned from the lengths that speeds does not use.
+	speedEstimator *speedestimator.Estimator
+	// nextTimings is when the times of all jobs are computed anew.
+	nextTimings time.Duration
 	// sessionsByFree caches the usable workers at sessionsByFreeAt, ordered by descending free capacity.
 	sessionsByFree   []*session
 	sessionsByFreeAt time.Duration
@@ -185,11 +196,11 @@
 		returned: map[*batch.Incarnation]bool{},
 		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
-		meanWork: map[string]float64{},
-		changed:  true,
+		meanWork: map[string]float64{}, speedEstimator: speedestimator.New(),
+		changed: true,
 	}
 	for _, j := range b.Active() {
-		sc.timings[j] = newJobTiming(j, now)
+		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
 	}
 	for _, incarnation := range b.Incarnations() {
@@ -208,11 +219,14 @@
 // Applied updates the scheduler with the effect of an applied command.
 func (sc *Scheduler) Applied(effect batch.Effect, now time.Duration) {
 	if j := effect.Accepted; j != nil {
-		sc.timings[j] = newJobTiming(j, now)
+		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
 	}
 	for _, end := range effect.Ended {
 		sc.removeEndedRun(end, now)
+		if end.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
+			sc.updateTiming(end.Task.Step().Job(), now)
+		}
 	}
 	for _, refuted := range effect.Refuted {
 		sc.logRefuted(refuted)
@@ -329,6 +343,7 @@
 	clear(sc.returned)
 	sc.registerRestarted(command, now)
 	if (sc.changed || now >= sc.decideBy) && now >= sc.earliestRound {
+		sc.updateTimings(now)
 		sc.changed, sc.decideBy = false, now+decideInterval
 		sc.stopUnneededRuns(now)
 		command.Placements = sc.decide(now)
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -121,8 +121,14 @@
 	// startResends is how often an unanswered start was resent.
 	startResends int
 	startedAt    time.Duration
-	stopping     bool
-	stopSentAt   time.Duration
+	// fresh is set if this leader started the run without a checkpoint. startAnswered is set once the worker has answered
+	// its only start order; startAnsweredAt and startClock are when, on the leader's and on the worker's clock.
+	fresh           bool
+	startAnswered   bool
+	startAnsweredAt time.Duration
+	startClock      time.Duration
+	stopping        bool
+	stopSentAt      time.Duration
 	// stopAnswered is set once the worker has answered a stop order.
 	stopAnswered   bool
 	stopAnsweredAt time.Duration
@@ -454,6 +460,8 @@
 	reason     string
 	// crash is the crash of the worker if it may be due to the run, and nil otherwise.
 	crash *wire.WorkerCrash
+	// ranMs is the length of a successful run on a worker of average speed; 0 if it is not known.
+	ranMs uint32
 }
 
 // cutShort returns the result of a run that ended for no fault of the task.
@@ -482,6 +490,6 @@
 func newRunEnd(run executor.Run, result runResult) *wire.RunEnd {
 	return &wire.RunEnd{
 		Job: run.Job, Step: uint32(run.Step), Index: uint32(run.Index), Run: uint32(run.Run),
-		Outcome: result.outcome, Checkpoint: result.checkpoint, Crash: result.crash,
+		Outcome: result.outcome, Checkpoint: result.checkpoint, Crash: result.crash, RanMs: result.ranMs,
 	}
 }
--- a/controld/internal/scheduler/timing.go
+++ b/controld/internal/scheduler/timing.go
@@ -6,7 +6,6 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
-	"flamingodrift.example/core/wire"
 )
 
 // overdueFactor is how many times its objective a job may take before its result is worthless to the caller.
@@ -19,16 +18,37 @@
 	objective  time.Duration
 	// criticalPaths holds, for each step, the estimated length of the longest chain of steps that begins with it.
 	criticalPaths []time.Duration
+	// lengthsMs holds the expected length of each step's tasks on a worker of average speed, in milliseconds, and ended the
+	// lengths of those that have ended.
+	lengthsMs []int64
+	ended     []taskLengths
+	// work is the expected work of the job in core-milliseconds.
+	work int64
 	// started is set once this leader has placed the job's first run.
 	started bool
 }
 
-func newJobTiming(j *batch.Job, now time.Duration) jobTiming {
-	timing := jobTiming{acceptedAt: now, criticalPaths: make([]time.Duration, len(j.Steps()))}
+func (sc *Scheduler) newJobTiming(j *batch.Job, now time.Duration) jobTiming {
+	timing := jobTiming{acceptedAt: now, ended: make([]taskLengths, len(j.Steps()))}
+	sc.estimate(&timing, j, now)
+	return timing
+}
+
+// estimate computes the lengths of a job's steps and what follows from them.
+func (sc *Scheduler) estimate(timing *jobTiming, j *batch.Job, now time.Duration) {
+	timing.criticalPaths = make([]time.Duration, len(j.Steps()))
+	timing.lengthsMs, timing.work = make([]int64, len(j.Steps())), 0
 	var longest time.Duration
 	for number := len(timing.criticalPaths) - 1; number >= 0; number-- {
-		spec := j.Steps()[number].Spec()
-		timing.criticalPaths[number] += time.Duration(spec.GetEstimateMs()) * time.Millisecond
+		step := j.Steps()[number]
+		spec := step.Spec()
+		length := sc.expectedMs(j.Queue().GetName(), spec)
+		if sc.cfg.LearnRunTimes {
+			length = sc.refine(step, length, timing.ended[number], now)
+		}
+		timing.lengthsMs[number] = length
+		timing.work += int64(spec.GetCount()) * spec.GetCpuMillis() * length / 1000
+		timing.criticalPaths[number] += time.Duration(length) * time.Millisecond
 		longest = max(longest, timing.criticalPaths[number])
 		for _, before := range spec.GetAfter() {
 			timing.criticalPaths[before] = max(timing.criticalPaths[before], timing.criticalPaths[number])
@@ -36,7 +56,6 @@
 	}
 	timing.objective = time.Duration(j.Queue().GetStretch()*float64(longest)) +
 		time.Duration(j.Queue().GetAllowanceMs())*time.Millisecond
-	return timing
 }
 
 // startBy returns the time by which a step is to start, weighted by the size of the job, in milliseconds of this host's
@@ -80,7 +99,7 @@
 // gangs it is the reverse: a large gang needs capacity on many workers at once and finds it last, so that behind small
 // gangs it would hardly ever start in time.
 func (sc *Scheduler) sizeWeight(j *batch.Job) float64 {
-	size, mean := float64(estimatedWork(j.Spec())), sc.meanWork[j.Queue().GetName()]
+	size, mean := float64(sc.timings[j].work), sc.meanWork[j.Queue().GetName()]
 	switch {
 	case mean <= 0 || size <= 0:
 		return 1
@@ -91,18 +110,9 @@
 	}
 }
 
-// estimatedWork returns the work of a job in core-milliseconds, based on its estimates.
-func estimatedWork(spec *wire.SubmittedJob) int64 {
-	var sum int64
-	for _, step := range spec.GetSteps() {
-		sum += int64(step.GetCount()) * step.GetCpuMillis() * int64(step.GetEstimateMs()) / 1000
-	}
-	return sum
-}
-
 func (sc *Scheduler) updateMeanWork(j *batch.Job) {
 	queue := j.Queue().GetName()
-	size := float64(estimatedWork(j.Spec()))
+	size := float64(sc.timings[j].work)
 	if mean, ok := sc.meanWork[queue]; ok {
 		size = (1-meanWorkWeight)*mean + meanWorkWeight*size
 	}
--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	CapacityGraceMs int `json:"capacity_grace_ms"`
 	// MaxLostDisks is how many disks may be lost at the same time without losing acknowledged data.
 	MaxLostDisks int `json:"lost_disks"`
+	// LearnRunTimes makes the scheduler expect the run times that the queue's ended runs tell instead of the declared ones.
+	LearnRunTimes bool `json:"learn_run_times"`
 }
 
 func (s *Settings) numbers() []checker.Number {
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -91,6 +91,7 @@
 			ClockDriftPercent: workerClockDriftPercent, EndedJobRetention: endedJobRetention, Logger: log,
 			ReportInterval: loader.Milliseconds(cfg.Queues.ReportIntervalMs),
 			ReportValidity: loader.Milliseconds(cfg.Queues.ReportIntervalMs+cfg.Queues.CapacityGraceMs) - orderDelay,
+			LearnRunTimes:  cfg.Queues.LearnRunTimes,
 			Allocator:      allocator.Config{Headroom: headroomShare, StopTime: stopTime, MaxReservingGangs: maxReservingGangs},
 		},
 	}
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -28,6 +28,7 @@
 	starts   metric.Float64Histogram
 	jobs     metric.Float64Histogram
 	runs     metric.Int64Counter
+	runTimes metric.Float64Histogram
 }
 
 // New returns a Meter for the named program.
@@ -70,12 +71,22 @@
 			return nil, fmt.Errorf("create histogram %s: %w", h.name, err)
 		}
 	}
+	const runTimes = "flamingodrift_run_time_ratio"
+	m.runTimes, err = m.meter.Float64Histogram(runTimes,
+		metric.WithDescription("Run times divided by what was expected, by queue and what that is based on."),
+		metric.WithExplicitBucketBoundaries(ratioBounds...))
+	if err != nil {
+		return nil, fmt.Errorf("create histogram %s: %w", runTimes, err)
+	}
 	return m, nil
 }
 
 // latencyBoundsSeconds holds the upper bounds of the histogram buckets.
 var latencyBoundsSeconds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60}
 
+// ratioBounds holds the upper bounds of the buckets of ratios.
+var ratioBounds = []float64{0.1, 0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4, 10}
+
 // QueueCallEnded records the duration of a call about queues.
 func (m *Meter) QueueCallEnded(method string, status int, took time.Duration) {
 	m.calls.Record(context.Background(), took.Seconds(), metric.WithAttributes(
@@ -98,6 +109,13 @@
 	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", endReason)))
 }
 
+// RunTimeCompared records the length of a successful run divided by what it was expected to take, and what that is based
+// on.
+func (m *Meter) RunTimeCompared(queue, basis string, ratio float64) {
+	m.runTimes.Record(context.Background(), ratio, metric.WithAttributes(
+		attribute.String("queue", queue), attribute.String("basis", basis)))
+}
+
 // Refused counts a refused request or change by reason.
 func (m *Meter) Refused(r reason.Reason) {
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", r.String())))
