scheduler: shares of workspaces in the order and in admission

Cause: with one workspace at nine times its usual load, the others' jobs were served no better than the excess, and nearly all jobs were accepted though most could not be served in time. Ruled out: excess counted from all submissions, as retries would use up the rate; a limit of the excess alone, as gangs within the rate take the capacity of batch; the whole first window at once after a change of the leader, which lets a hot workspace submit five seconds of its rate again. Change: the leader marks a job as excess when it admits it. Excess is the first key of the order, reserves nothing and leaves the headroom free; its runs with checkpoints may be stopped for other gangs. Within a lateness and priority, workspaces that use more than their share go behind. Where workspaces have weights, admission is by forecast, and refusals tell return times that are spread. The sums of waiting work are counted once per change of the jobs instead of for each submission. Without weights, decisions are the same as before; TestAdmissionWithoutWeights compares each of them.

--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -36,6 +36,8 @@
 	Remaining time.Duration
 	// Preemptible is set for a run that may be preempted because its work survives the stop.
 	Preemptible bool
+	// Excess is set for work beyond the rate that its workspace is guaranteed.
+	Excess bool
 }
 
 // Demand is a step with waiting tasks.
@@ -54,10 +56,15 @@
 	MostPerWorker int
 	Tasks         []Task
 	Candidates    []Candidate
-	// Lateness is the first key of the order of demands.
+	// Excess is the first key of the order of demands. It is set for work beyond the rate that its workspace is guaranteed:
+	// it only gets capacity that no other demand can use, and reserves none.
+	Excess bool
+	// Lateness is the second key of the order of demands.
 	Lateness Lateness
-	// StartBy orders demands of equal lateness and priority: the latest start that meets the objective, weighted by the
-	// size of the job, in milliseconds.
+	// ShareRank orders demands of equal lateness and priority: those of workspaces that use less of their share first.
+	ShareRank int
+	// StartBy orders demands of equal rank: the latest start that meets the objective, weighted by the size of the job, in
+	// milliseconds.
 	StartBy int64
 	// Reserved is the capacity that the gang has reserved in earlier rounds. It stays closed to other demands: without
 	// that, newcomers would repeatedly take the capacity that wide gangs wait for.
@@ -151,7 +158,7 @@
 // Config holds the parameters of the policy.
 type Config struct {
 	// Headroom is the fraction of each worker's CPU that demands of a priority other than 0 leave free, gangs excepted,
-	// so that bursts of short jobs of priority 0 start at once.
+	// so that bursts of short jobs of priority 0 start at once. Excess demands of any kind leave it free too.
 	Headroom float64
 	// StopTime is the time from the decision to stop a run until its resources are free.
 	StopTime time.Duration
@@ -234,7 +241,7 @@
 	return r.plan
 }
 
-// decisionOrder returns the indexes of the demands sorted by lateness, priority and latest start.
+// decisionOrder returns the indexes of the demands sorted by excess, lateness, priority, share and latest start.
 func decisionOrder(demands []Demand) []int {
 	indexes := make([]int, len(demands))
 	for i := range indexes {
@@ -243,12 +250,25 @@
 	slices.SortStableFunc(indexes, func(a, b int) int {
 		x, y := &demands[a], &demands[b]
 		return cmp.Or(
-			cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.StartBy, y.StartBy),
+			compareExcess(x.Excess, y.Excess), cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority),
+			cmp.Compare(x.ShareRank, y.ShareRank), cmp.Compare(x.StartBy, y.StartBy),
 		)
 	})
 	return indexes
 }
 
+// compareExcess orders excess work behind other work.
+func compareExcess(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // available returns the capacity of a worker that a demand may use now. Reserved capacity is open to demands of a more
 // urgent priority, and to tasks that should end before the gang starts.
 func (r *round) available(d *Demand, worker int) resource.Vector {
@@ -258,7 +278,11 @@
 			free = free.Sub(res.resources)
 		}
 	}
-	if d.Priority > 0 && !d.Gang {
+	switch {
+	case d.Excess:
+		// What runs of priority 0 use does not count towards its headroom: these may be excess themselves.
+		free = free.Sub(resource.NewCPU(int64(r.cfg.Headroom * float64(r.workers[worker].Capacity.CPU()))))
+	case d.Priority > 0 && !d.Gang:
 		free = free.Sub(resource.NewCPU(r.headroom(worker)))
 	}
 	return free
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -43,7 +43,7 @@
 		r.placeMembers(index, offers)
 		return
 	}
-	if d.Lateness == Overdue || r.reserving >= r.cfg.MaxReservingGangs {
+	if d.Lateness == Overdue || d.Excess || r.reserving >= r.cfg.MaxReservingGangs {
 		r.plan.WaitingGangs = append(r.plan.WaitingGangs,
 			WaitingGang{Demand: index, Feasible: totalNow >= count, Shares: sharesNow(offers, count)})
 		return
@@ -181,8 +181,11 @@
 	return free
 }
 
-// mayPreempt reports whether a demand may preempt a run.
-func mayPreempt(d *Demand, run Run) bool { return run.Preemptible && run.Priority > d.Priority }
+// mayPreempt reports whether a demand may preempt a run: a less urgent one, or one that runs on capacity lent by other
+// workspaces.
+func mayPreempt(d *Demand, run Run) bool {
+	return run.Preemptible && (run.Priority > d.Priority || run.Excess && !d.Excess)
+}
 
 // bestRack returns the offers of the rack on which the whole gang can start earliest, or all offers when it fits on no
 // rack.
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -230,9 +230,8 @@
 		return
 	}
 	if admission := c.scheduler.Admit(queue, job, now); !admission.Admitted {
-		logger.JobTurnedAway.Log(c.cfg.Logger, "job", id, "queue", queue.GetName(), "why", admission.Reason,
-			"workspace", workspace, "waiting_core_ms", admission.Backlog, "retry_after_ms", admission.RetryAfter.Milliseconds())
-		c.countRefusal(reason.QueueFull)
+		logger.JobTurnedAway.Log(c.cfg.Logger, append([]any{"job", id, "queue", queue.GetName()}, admission.Fields()...)...)
+		c.countRefusal(admission.Cause)
 		e.turnAway(admission.Reason, admission.RetryAfter)
 		return
 	}
--- a/controld/internal/forecaster/forecaster.go
+++ b/controld/internal/forecaster/forecaster.go
@@ -83,6 +83,8 @@
 	Capacity, InUse int64
 	// Ahead is what waiting tasks ahead of the job need, and Need what the tasks of its first step do.
 	Ahead, Need int64
+	// AheadLength is how long the tasks ahead of the job run on average.
+	AheadLength time.Duration
 	// Others is what waiting tasks need that are not excess, whatever their priority.
 	Others int64
 	// Consent is how long it takes to get consent for the first step, and Length how long the job runs.
@@ -108,8 +110,8 @@
 func (f *Forecaster) Forecast(job Job, now time.Duration) Forecast {
 	rate := f.Rate(now)
 	if rate <= 0 {
-		// Nothing runs. What is ahead of the job is taken to last as long as the job itself.
-		rate = usableShare * float64(job.Capacity) / max(job.Length.Seconds(), 0.1)
+		// Nothing runs. Capacity comes free as what is ahead of the job ends.
+		rate = usableShare * float64(job.Capacity) / max(job.AheadLength.Seconds(), job.Length.Seconds(), 0.1)
 	}
 	least := minRateShare * rate
 	var urgent, all float64
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -8,6 +8,7 @@
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/resource"
+	"flamingodrift.example/controld/internal/shareranker"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
@@ -68,6 +69,8 @@
 	runTasks []*batch.Task
 	// placements holds those of isolated tasks, which are decided before the others.
 	placements []*wire.RunPlacement
+	// ranks orders workspaces by their use of their shares; nil without shares.
+	ranks *shareranker.Ranker
 	// allowances holds, by workspace, what it may still use; only for workspaces with a limit.
 	allowances map[string]*resource.Vector
 }
@@ -77,7 +80,7 @@
 	sc.rounds++
 	r := &round{
 		now: now, number: sc.rounds, sessions: sc.roundSessions[:0], workers: sc.roundWorkers[:0],
-		allowances: sc.allowances(),
+		allowances: sc.allowances(), ranks: sc.shareRanks(),
 	}
 	defer func() { sc.roundSessions, sc.roundWorkers = r.sessions, r.workers }()
 	sc.addDemands(r)
@@ -131,6 +134,7 @@
 			Handle: len(r.runTasks), Priority: int(t.Step().Job().Queue().GetPriority()), Need: t.Step().Need(),
 			Remaining:   remaining,
 			Preemptible: !stopping && sc.preemptible(t, run, r.now),
+			Excess:      sc.isExcess(t.Step().Job()),
 		})
 		r.runTasks = append(r.runTasks, t)
 	}
@@ -142,29 +146,39 @@
 func (sc *Scheduler) requestConsents(r *round, plan allocator.Plan, now time.Duration) {
 	for _, d := range plan.NeedConsent {
 		if r.steps[d].Job().Queue().GetConsent() != nil {
-			sc.renewTickets(r.steps[d], r.demands[d].Lateness, nil, now)
+			sc.renewTickets(r.steps[d], consentLateness(r.demands[d].Excess, r.demands[d].Lateness), nil, now)
 		}
 	}
 	for _, w := range plan.WaitingGangs {
 		step, demand := r.steps[w.Demand], &r.demands[w.Demand]
+		lateness := consentLateness(demand.Excess, demand.Lateness)
 		sc.updateReservation(r, step, demand, w)
 		if step.Job().Queue().GetConsent() == nil {
 			continue
 		}
 		if w.Feasible && w.StartIn <= sc.callDuration(step, len(sc.consentFor(step).granted))+ticketRenewLead {
-			sc.renewTickets(step, demand.Lateness, r.sessionShares(w.Shares), now)
+			sc.renewTickets(step, lateness, r.sessionShares(w.Shares), now)
 		}
-		if !w.Feasible || sc.needsMoreWorkers(step, demand.Lateness, now, w.StartIn) {
-			sc.requestMoreWorkers(step, demand.Lateness, now)
+		if !w.Feasible || sc.needsMoreWorkers(step, lateness, now, w.StartIn) {
+			sc.requestMoreWorkers(step, lateness, now)
 		}
 	}
 	for _, d := range plan.Blocked {
 		if r.steps[d].Job().Queue().GetConsent() != nil {
-			sc.requestMoreWorkers(r.steps[d], r.demands[d].Lateness, now)
+			sc.requestMoreWorkers(r.steps[d], consentLateness(r.demands[d].Excess, r.demands[d].Lateness), now)
 		}
 	}
 }
 
+// consentLateness returns the lateness by which consent calls are made. Those for excess work are made like those for late
+// work, so that they do not delay the others.
+func consentLateness(excess bool, lateness allocator.Lateness) allocator.Lateness {
+	if excess {
+		return max(lateness, allocator.Late)
+	}
+	return lateness
+}
+
 // needsMoreWorkers reports whether a gang that is due to start in startIn should request more workers: either it would
 // start too late, or most of the capacity is free and the reply would come before its start.
 func (sc *Scheduler) needsMoreWorkers(step *batch.Step, lateness allocator.Lateness, now, startIn time.Duration) bool {
@@ -229,6 +243,8 @@
 	tasks    []*batch.Task
 	lateness allocator.Lateness
 	startBy  int64
+	excess   bool
+	rank     int
 }
 
 func (sc *Scheduler) addDemands(r *round) {
@@ -245,7 +261,8 @@
 }
 
 // waitingSteps returns the steps with tasks to place, most urgent first. When there are more than a round considers,
-// each priority gets a minimum number of places, so that the backlog of one priority does not block the others.
+// each priority gets a minimum number of places, so that the backlog of one priority does not block the others. Excess
+// steps get the places that are left.
 func (sc *Scheduler) waitingSteps(r *round) []waitingStep {
 	now := r.now
 	var waiting []waitingStep
@@ -260,6 +277,7 @@
 			if tasks := sc.placeableTasks(step, now); len(tasks) > 0 {
 				w := waitingStep{step: step, tasks: tasks}
 				w.startBy, w.lateness = sc.startBy(step, now)
+				w.excess, w.rank = sc.isExcess(j), r.shareRank(j)
 				waiting = append(waiting, w)
 			}
 		}
@@ -270,18 +288,22 @@
 	priority := func(w waitingStep) uint32 { return w.step.Job().Queue().GetPriority() }
 	slices.SortStableFunc(waiting, func(a, b waitingStep) int {
 		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(priority(a), priority(b)),
-			cmp.Compare(a.startBy, b.startBy))
+			cmp.Compare(a.rank, b.rank), cmp.Compare(a.startBy, b.startBy))
 	})
 	byPriority := map[uint32]int{}
-	var first, rest []waitingStep
+	var first, rest, excess []waitingStep
 	for _, w := range waiting {
+		if w.excess {
+			excess = append(excess, w)
+			continue
+		}
 		if byPriority[priority(w)]++; byPriority[priority(w)] <= maxDemandsPerRound/demandShareDivisor {
 			first = append(first, w)
 		} else {
 			rest = append(rest, w)
 		}
 	}
-	return append(first, rest...)
+	return slices.Concat(first, rest, excess)
 }
 
 // demandShareDivisor sets the minimum number of places of each priority in a round:
@@ -307,7 +329,7 @@
 	step := w.step
 	queue, spec := step.Job().Queue(), step.Spec()
 	if queue.GetConsent() != nil && len(sc.consentFor(step).granted) == 0 {
-		sc.requestFirstConsent(step, w.lateness, r.now)
+		sc.requestFirstConsent(step, consentLateness(w.excess, w.lateness), r.now)
 		return
 	}
 	d := allocator.Demand{
@@ -327,6 +349,7 @@
 		}
 		d.Tasks = append(d.Tasks, task)
 	}
+	d.Excess, d.ShareRank = w.excess, w.rank
 	d.Allowance = r.allowances[step.Job().Workspace()]
 	d.Candidates = sc.candidates(r, step)
 	r.steps = append(r.steps, step)
--- a/controld/internal/scheduler/replay_simulator_test.go
+++ b/controld/internal/scheduler/replay_simulator_test.go
@@ -82,6 +82,13 @@
 	failed         bool
 	// lost holds the runs that ended because their worker crashed, whatever the cause. The members of a gang share one run.
 	lost map[executor.Run]bool
+	// workspace is the name of the workspace that submitted the job; empty without workspaces.
+	workspace string
+	// submissions holds when the job was submitted: the last time is when it was accepted.
+	submissions []time.Duration
+	accepted    bool
+	// admission is the last decision on the job.
+	admission Admission
 }
 
 // lostRun returns the key of a run in lost.
@@ -99,11 +106,22 @@
 	// rand draws the arriving jobs, grants what the consent service allows, and restarts which workers crash for other
 	// reasons than their tasks. They are apart, so that the same jobs arrive however the Scheduler decides.
 	rand, grants, restarts *rand.Rand
-	now                    time.Duration
-	batch                  *batch.Batch
-	workers                map[string]*replayWorker
-	workerNames            []string
-	jobs                   map[string]*replayJob
+	// workspaceRand draws the workspaces of the arriving jobs, and excessRand the jobs of the hot workspace beyond its usual
+	// load, so that the other jobs are the same with and without it.
+	workspaceRand, excessRand *rand.Rand
+	// refused holds the jobs that were refused at least once, and retryAfters the delays that they were told, by the time
+	// of the refusal.
+	refused     map[string]*replayJob
+	retryAfters map[time.Duration][]time.Duration
+	// onAdmission is called with each decision on a new job; nil means not at all.
+	onAdmission func(*wire.Queue, *wire.SubmittedJob, Admission)
+	// all holds every submitted job, by id.
+	all         map[string]*replayJob
+	now         time.Duration
+	batch       *batch.Batch
+	workers     map[string]*replayWorker
+	workerNames []string
+	jobs        map[string]*replayJob
 	// idleWaits is how long each job has waited so far while suitable workers were idle, and longestIdleWait the longest
 	// of these waits.
 	idleWaits       map[string]time.Duration
@@ -125,6 +143,8 @@
 	r := &replay{
 		load: l, rand: rand.New(rand.NewPCG(seed, 2)), grants: rand.New(rand.NewPCG(seed, 3)),
 		restarts: rand.New(rand.NewPCG(seed, 4)), now: time.Minute, batch: batch.New(),
+		workspaceRand: rand.New(rand.NewPCG(seed, 5)), excessRand: rand.New(rand.NewPCG(seed, 6)),
+		refused: map[string]*replayJob{}, retryAfters: map[time.Duration][]time.Duration{}, all: map[string]*replayJob{},
 		workers: map[string]*replayWorker{}, jobs: map[string]*replayJob{},
 		scheduled: map[time.Duration][]func(){}, helperFreeAt: map[string]time.Duration{},
 		results: make([]kindResult, len(l.kinds)),
@@ -136,6 +156,7 @@
 			Stretch: k.stretch, AllowanceMs: uint32(k.allowance.Milliseconds()), Consent: k.consent,
 		})
 	}
+	config.Workspaces = l.workspaces
 	r.batch.Apply(&wire.QueueCommand{Configure: config})
 	speeds := []float64{0.8, 1, 1.25}
 	if l.speeds != nil {
@@ -188,7 +209,7 @@
 	return min(mean*maxFactor, mean*math.Exp(sigma*r.rand.NormFloat64()-sigma*sigma/2))
 }
 
-func (r *replay) run() []kindResult {
+func (r *replay) run() {
 	start := r.now
 	for r.now < start+r.load.length+settleTime {
 		r.now += replayTick
@@ -221,7 +242,6 @@
 			r.results[j.kind].tooLate++
 		}
 	}
-	return r.results
 }
 
 // idleCheckInterval is how often a replay looks for jobs that wait while suitable workers are idle.
@@ -657,7 +677,38 @@
 			}
 		}
 		if r.rand.Float64() < rate*replayTick.Seconds() {
-			r.submit(i, k)
+			r.submit(i, k, r.drawWorkspace())
+		}
+	}
+	if h := r.load.hot; h.name != "" && elapsed >= h.from && elapsed < h.until {
+		r.submitExcess(h)
+	}
+}
+
+// drawWorkspace returns the workspace of the next job, by the shares of the load; empty without workspaces.
+func (r *replay) drawWorkspace() string {
+	share := r.workspaceRand.Float64()
+	for i, w := range r.load.workspaces {
+		if share -= r.load.workspaceShares[i]; share < 0 || i == len(r.load.workspaces)-1 {
+			return w.GetName()
+		}
+	}
+	return ""
+}
+
+// submitExcess submits what a workspace sends beyond its usual load.
+func (r *replay) submitExcess(h hotWorkspace) {
+	r.rand, r.excessRand = r.excessRand, r.rand
+	defer func() { r.rand, r.excessRand = r.excessRand, r.rand }()
+	for i, k := range r.load.kinds {
+		if h.kind != "" && h.kind != k.name {
+			continue
+		}
+		expected := k.perSecond * h.share * (h.factor - 1) * replayTick.Seconds()
+		for ; expected > 0; expected-- {
+			if r.rand.Float64() < expected {
+				r.submit(i, k, h.name)
+			}
 		}
 	}
 }
@@ -665,7 +716,7 @@
 // submitCrashing submits a job of which one task crashes its workers. It counts in no result.
 func (r *replay) submitCrashing(index int, kind jobKind) {
 	before := r.results[index]
-	r.submit(index, kind)
+	r.submit(index, kind, "")
 	r.results[index] = before
 	if j := r.jobs[fmt.Sprintf("%016x", r.submitted)]; j != nil {
 		j.crashesWorkers = true
@@ -673,16 +724,17 @@
 	}
 }
 
-func (r *replay) submit(index int, kind jobKind) {
+func (r *replay) submit(index int, kind jobKind, workspace string) {
 	r.submitted++
 	j := &replayJob{
 		id: fmt.Sprintf("%016x", r.submitted), kind: index, arrived: r.now, tasks: map[executor.Run]*replayTask{},
-		granted: map[string]bool{}, lost: map[executor.Run]bool{},
+		granted: map[string]bool{}, lost: map[executor.Run]bool{}, workspace: workspace,
 	}
+	r.all[j.id] = j
 	for _, name := range r.workerNames {
 		j.granted[name] = kind.consent == nil || r.grants.Float64() < kind.grantedShare
 	}
-	spec := &wire.SubmittedJob{Id: j.id, Queue: kind.name}
+	spec := &wire.SubmittedJob{Id: j.id, Queue: kind.name, Workspace: workspace}
 	gang, checkpoints := r.rand.Float64() < kind.gangShare, r.rand.Float64() < kind.checkpointShare
 	steps := 1
 	if r.rand.Float64() < kind.steps-1 {
@@ -726,10 +778,29 @@
 	s := &r.results[index]
 	s.jobs++
 	s.possibleValue += j.value
-	if admission := r.Admit(r.batch.Queue(kind.name), spec, r.now); !admission.Admitted {
-		s.rejected++
+	r.offer(j, spec)
+}
+
+// offer submits a job, again at the time that a refusal names, as often as the clients of the load do.
+func (r *replay) offer(j *replayJob, spec *wire.SubmittedJob) {
+	j.submissions = append(j.submissions, r.now)
+	admission := r.Admit(r.batch.Queue(spec.GetQueue()), spec, r.now)
+	j.admission = admission
+	if r.onAdmission != nil {
+		r.onAdmission(r.batch.Queue(spec.GetQueue()), spec, admission)
+	}
+	if admission.Admitted {
+		j.accepted, j.arrived = true, r.now
+		r.jobs[j.id] = j
+		r.after(commitDelay, func() { r.commit(&wire.QueueCommand{Submit: spec}) })
 		return
 	}
-	r.jobs[j.id] = j
-	r.after(commitDelay, func() { r.commit(&wire.QueueCommand{Submit: spec}) })
+	if len(j.submissions) == 1 {
+		r.results[j.kind].rejected++
+	}
+	r.refused[j.id] = j
+	r.retryAfters[r.now] = append(r.retryAfters[r.now], admission.RetryAfter)
+	if len(j.submissions) <= r.load.retries {
+		r.after(admission.RetryAfter, func() { r.offer(j, spec) })
+	}
 }
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -74,6 +74,16 @@
 	perSecond   float64
 }
 
+// hotWorkspace multiplies the load of one workspace for some time. Its share is that of the usual load, and kind is the
+// only kind of jobs of which it sends more; empty means all.
+type hotWorkspace struct {
+	name        string
+	share       float64
+	kind        string
+	from, until time.Duration
+	factor      float64
+}
+
 // load describes the workers and the jobs of a replay.
 type load struct {
 	workers int
@@ -95,6 +105,12 @@
 	slowRuns float64
 	// speeds are those of the workers, in turn; nil means the usual ones.
 	speeds []float64
+	// workspaces submit the jobs, each its share of them.
+	workspaces      []*wire.Workspace
+	workspaceShares []float64
+	hot             hotWorkspace
+	// retries is how often clients submit a refused job again.
+	retries int
 }
 
 const slowRunFactor = 7
--- a/controld/internal/scheduler/runtimes.go
+++ b/controld/internal/scheduler/runtimes.go
@@ -206,6 +206,7 @@
 		return
 	}
 	sc.nextTimings = now + timingInterval
+	sc.backlog.valid = false
 	for _, j := range sc.batch.Active() {
 		sc.updateTiming(j, now)
 	}
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -84,6 +84,10 @@
 	consents map[*batch.Step]*consentState
 	helpers  map[string]*helper
 	timings  map[*batch.Job]jobTiming
+	// shares tells which jobs exceed the rate of their workspace.
+	shares *workspaceShares
+	// backlog sums up the waiting work for admission.
+	backlog *backlog
 	// reservations holds where the gangs with reserved capacity will run.
 	reservations map[*batch.Step][]sessionShare
 	// probePool holds the workers that are kept for tasks that must run alone; aloneSince is since when each of these tasks
@@ -195,6 +199,7 @@
 		consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
 		returned: map[*batch.Incarnation]bool{},
 		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
+		shares: newWorkspaceShares(now), backlog: newBacklog(),
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
 		meanWork: map[string]float64{}, speedEstimator: speedestimator.New(),
 		changed: true,
@@ -221,7 +226,9 @@
 	if j := effect.Accepted; j != nil {
 		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
+		sc.shares.applied(j)
 	}
+	sc.updateBacklog(effect)
 	for _, end := range effect.Ended {
 		sc.removeEndedRun(end, now)
 		if end.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
@@ -374,6 +381,7 @@
 		for j := range sc.timings {
 			if j.Ended() && j.ActiveRuns() == 0 {
 				delete(sc.timings, j)
+				delete(sc.shares.excess, j)
 			}
 		}
 		for step := range sc.consents {
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -64,6 +64,8 @@
 	LimitReached      Reason = "limit_reached"
 	StalePoll         Reason = "stale_poll"
 	NameInUse         Reason = "name_in_use"
+	OverShare         Reason = "over_share"
+	NotInTime         Reason = "not_in_time"
 )
 
 // Reasons why a running task is stopped.
--- a/core/reason/sets.go
+++ b/core/reason/sets.go
@@ -16,7 +16,7 @@
 		KeyMissing, KeyReused, StillRunning, ClaimsFull, ClaimUnavailable, OutcomeUnknown, AnswerNotKept, AnswerTooLarge,
 		AnswerBroken, RequestTooLarge, RequestInvalid, TargetUnreachable, LeaseEnded, RetryBudgetSpent, Unauthorized,
 		Conflict, ChangeIDReused, SheetOlder, SheetNumberReused, StopsUnconfirmed, NotFound, DiskFull, LimitReached,
-		StalePoll, NameInUse,
+		StalePoll, NameInUse, OverShare, NotInTime,
 	}
 }
 
