--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -13,6 +13,7 @@
 	LeaderFound      = define(1008, slog.LevelInfo, "a leader answers")
 	LeaderMissing    = define(1009, slog.LevelWarn, "no leader answers")
 	RequestPanicked  = define(1010, slog.LevelError, "the handling of a request panicked; only that request ends")
+	ClientsRefused   = define(1011, slog.LevelWarn, "clients exceed a limit of this process and are refused")
 	Fatal            = define(1005, slog.LevelError, "program stops after an error it cannot recover from")
 )
 
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -17,6 +17,9 @@
 	"flamingodrift.example/core/reason"
 )
 
+// maxScrapes bounds the memory of responses that clients do not read.
+const maxScrapes = 32
+
 // Meter holds the metrics of one program.
 type Meter struct {
 	registry *prometheus.Registry
@@ -28,6 +31,8 @@
 	starts   metric.Float64Histogram
 	jobs     metric.Float64Histogram
 	runs     metric.Int64Counter
+	// clientRefusals counts clients that exceeded a limit of the process.
+	clientRefusals metric.Int64Counter
 }
 
 // New returns a Meter for the named program.
@@ -48,6 +53,7 @@
 		{&m.retries, "flamingodrift_retries", "Retried requests by reason."},
 		{&m.outcomes, "flamingodrift_outcomes", "Callers' requests by outcome."},
 		{&m.runs, "flamingodrift_runs", "Runs of submitted jobs by how they ended."},
+		{&m.clientRefusals, "flamingodrift_client_refusals", "Requests and connections refused at a limit of the process."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
@@ -98,6 +104,12 @@
 	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", endReason)))
 }
 
+// ClientRefused counts a request or connection that was refused at a limit of the process.
+func (m *Meter) ClientRefused(why, listener string) {
+	m.clientRefusals.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("why", why), attribute.String("listener", listener)))
+}
+
 // Refused counts a refused request or change by reason.
 func (m *Meter) Refused(r reason.Reason) {
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", r.String())))
@@ -129,5 +141,5 @@
 
 // Handler serves the metrics in the Prometheus text format.
 func (m *Meter) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
--- a/core/meter/meter_test.go
+++ b/core/meter/meter_test.go
@@ -49,6 +49,7 @@
 	m.JobStarted("q", time.Second)
 	m.JobEnded("q", "completed", time.Second)
 	m.RunEnded("done")
+	m.ClientRefused("connections", "callers")
 	exposed := names(regexp.MustCompile(`(?m)^# TYPE (flamingodrift_\w+) `), scrape(t, m))
 	data, err := os.ReadFile("../../docs/metrics.md")
 	require.NoError(t, err)
