core/messenger: limit handshakes, sessions, streams and the memory of messages

Cause: a connection that sends no token is held for 2 s, in any number; a message of 9 MiB is allocated when its size arrives, for any number of streams; an accept that fails, for example without free descriptors, ends the serving of sessions for good.

Change: 64 connections may be before their token, of which the oldest is closed for a new one; sessions have a configurable limit, streams one of 8,192; a request above 4 KiB waits up to 2 s for a budget and has a time limit; accept is repeated.

Ruled out: reserving in steps as data arrives. Requests that each hold a part and wait for the rest could block each other. Requests up to 4 KiB take no reservation and no deadline, so ordinary calls cost nothing more.

--- a/core/codec/codec.go
+++ b/core/codec/codec.go
@@ -49,18 +49,33 @@
 
 // Read reads one message. It returns io.EOF if the stream ends before the first byte.
 func (c Codec[T]) Read(r io.Reader) (T, error) {
-	var zero T
+	size, err := c.ReadSize(r)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return c.ReadBody(r, size)
+}
+
+// ReadSize reads the size of the next message. It returns io.EOF if the stream ends before the first byte.
+func (c Codec[T]) ReadSize(r io.Reader) (int, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		if errors.Is(err, io.EOF) {
-			return zero, io.EOF
+			return 0, io.EOF
 		}
-		return zero, fmt.Errorf("read message header: %w", err)
+		return 0, fmt.Errorf("read message header: %w", err)
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrameBytes {
-		return zero, ErrTooLarge
+		return 0, ErrTooLarge
 	}
+	return int(size), nil
+}
+
+// ReadBody reads a message of the given size.
+func (c Codec[T]) ReadBody(r io.Reader, size int) (T, error) {
+	var zero T
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return zero, fmt.Errorf("read message body: %w", err)
--- a/core/messenger/messenger.go
+++ b/core/messenger/messenger.go
@@ -13,12 +13,16 @@
 	"net/netip"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
+	"flamingodrift.example/core/bytelimiter"
 	"flamingodrift.example/core/codec"
+	"flamingodrift.example/core/connlimiter"
 	"flamingodrift.example/core/logger"
+	"flamingodrift.example/core/refusalrecorder"
 	"flamingodrift.example/core/wire"
 )
 
@@ -30,8 +34,14 @@
 	maxTokenBytes    = 256
 	// sendQueueLength is the number of one-way requests that are queued for a peer before further ones are dropped.
 	sendQueueLength = 256
-	// maxSessions limits the incoming sessions.
-	maxSessions = 512
+	// defaultMaxSessions limits the incoming sessions.
+	defaultMaxSessions = 512
+	// maxHandshakes limits the connections that have not sent their token yet. Peers send it at once.
+	maxHandshakes = 64
+	// maxStreams limits the incoming streams of all sessions. Each request in progress has one.
+	maxStreams = 8192
+	// acceptRetryDelay is the delay after a failed accept, for example without free descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 	// maxIdleStreams limits the idle streams that are kept for each outgoing session.
 	maxIdleStreams = 64
 
@@ -77,6 +87,14 @@
 	KeepAlive time.Duration
 	// Logger receives the panics of Handler; nil discards them.
 	Logger *slog.Logger
+	// MaxSessions limits the incoming sessions; 0 means 512.
+	MaxSessions int
+	// FrameBudget limits the memory of incoming requests above 4 KiB; nil means no limit.
+	FrameBudget *bytelimiter.Limiter
+	// FrameTimeout is the time in which such a request must arrive; 0 means no limit.
+	FrameTimeout time.Duration
+	// Recorder counts refusals; nil discards them.
+	Recorder *refusalrecorder.Recorder
 }
 
 // Messenger sends requests to peers and serves theirs. It is safe for concurrent use.
@@ -85,6 +103,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	active sync.WaitGroup
+	// handshakes tracks the connections that have not sent their token yet.
+	handshakes *connlimiter.Limiter
+	// streams is the number of incoming streams.
+	streams atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[string]*peerSession
@@ -112,9 +134,15 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.New(slog.DiscardHandler)
 	}
+	if cfg.MaxSessions == 0 {
+		cfg.MaxSessions = defaultMaxSessions
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Messenger{
 		cfg: cfg, ctx: ctx, cancel: cancel,
+		handshakes: connlimiter.New(connlimiter.Config{
+			Max: maxHandshakes, OnRefused: func() { cfg.Recorder.Refused(refusalrecorder.Handshake, listenerName) },
+		}),
 		sessions:   map[string]*peerSession{},
 		dialing:    map[string]*sync.Mutex{},
 		sendQueues: map[string]chan *wire.Request{},
@@ -369,30 +397,43 @@
 func (m *Messenger) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
-			if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return fmt.Errorf("accept session: %w", err)
+		switch {
+		case err == nil:
+			m.handshakes.Open(conn)
+			go m.serveConn(conn)
+		case m.ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			// The process cannot work without its sessions, and descriptors become free again.
+			time.Sleep(acceptRetryDelay)
 		}
-		go m.serveConn(conn)
 	}
 }
 
-func (m *Messenger) serveConn(conn net.Conn) {
+// greet checks the token of a new connection.
+func (m *Messenger) greet(conn net.Conn) bool {
+	defer m.handshakes.Close(conn)
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	if !m.checkToken(conn) {
+		return false
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return true
+}
+
+func (m *Messenger) serveConn(conn net.Conn) {
+	if !m.greet(conn) {
+		m.cfg.Recorder.Refused(refusalrecorder.Handshake, listenerName)
 		_ = conn.Close()
 		return
 	}
-	_ = conn.SetDeadline(time.Time{})
 	session, err := yamux.Server(&coalescingConn{Conn: conn}, m.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
 	m.mu.Lock()
-	full := len(m.inbound) >= maxSessions || m.ctx.Err() != nil
+	full := len(m.inbound) >= m.cfg.MaxSessions || m.ctx.Err() != nil
 	if !full {
 		m.inbound[session] = struct{}{}
 	}
@@ -403,36 +444,60 @@
 		delete(m.inbound, session)
 		m.mu.Unlock()
 	}()
+	if full {
+		m.cfg.Recorder.Refused(refusalrecorder.Connections, listenerName)
+	}
 	for !full {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		if m.streams.Add(1) > maxStreams {
+			m.streams.Add(-1)
+			m.cfg.Recorder.Refused(refusalrecorder.Streams, listenerName)
+			_ = stream.Close()
+			continue
+		}
 		m.active.Add(1)
 		go m.serveStream(stream)
 	}
 }
 
 // serveStream handles the requests of one stream in order. One-way requests share a stream and get no reply.
-func (m *Messenger) serveStream(stream net.Conn) {
+func (m *Messenger) serveStream(stream *yamux.Stream) {
 	defer m.active.Done()
+	defer m.streams.Add(-1)
 	defer func() { _ = stream.Close() }()
-	for {
-		request, err := requests.Read(stream)
-		if err != nil {
-			return
-		}
-		reply, ok := m.handle(request)
-		if !ok {
-			return
-		}
-		if reply == nil {
-			continue
-		}
-		if err := replies.Write(stream, reply); err != nil {
-			return
+	for m.serveRequest(stream) {
+	}
+}
+
+// serveRequest handles the next request of a stream and reports whether the stream can be used further.
+func (m *Messenger) serveRequest(stream *yamux.Stream) bool {
+	size, err := requests.ReadSize(stream)
+	if err != nil {
+		return false
+	}
+	var request *wire.Request
+	if size <= freeFrameBytes {
+		request, err = requests.ReadBody(stream, size)
+	} else {
+		if !m.reserveFrame(size) {
+			m.cfg.Recorder.Refused(refusalrecorder.FrameBudget, listenerName)
+			return false
 		}
+		request, err = m.readLarge(stream, size)
+		m.releaseFrame(size) // the encoded form
+		defer m.releaseFrame(size)
+	}
+	if err != nil {
+		return false
+	}
+	reply, ok := m.handle(request)
+	if !ok {
+		return false
 	}
+	return reply == nil || replies.Write(stream, reply) == nil
 }
 
 // handle calls the handler. It returns false after a panic, which then ends only this request: the caller gets no reply,
