frontd, controld, entryd: limits of clients on every listener

Cause: no listener limited the memory of bodies in progress, and only entryd's HTTP limited connections (closed after their answer).

Change: all HTTP servers come from core/httpguard and share one budget for each process; sessions have a budget of their own. Bodies are read by bodylimiter and decoded only if their estimated decoded size fits the budget: 413 above the limit, 408 when late, 503 with Retry-After without budget, before anything is passed on. The timeout of operators' and workers' calls begins when the body has arrived. Settings have defaults derived from memory_limit_mb.

Ruled out: a larger limit of messages, which would raise the memory of every session; one budget for bodies and messages, where callers could keep out the cell's own sessions.

--- a/controld/internal/settings/settings.go
+++ b/controld/internal/settings/settings.go
@@ -43,6 +43,22 @@
 	Queues Queues `json:"queues"`
 	// MemoryLimitMB is the soft memory limit of the Go runtime.
 	MemoryLimitMB int `json:"memory_limit_mb"`
+	// MaxConnections limits the open connections of Queues.Address. At the limit, those that have waited longest for their client
+	// are closed.
+	MaxConnections int `json:"max_connections"`
+	// MaxSideConnections limits the open connections of HealthAddress.
+	MaxSideConnections int `json:"max_side_connections"`
+	// MaxSessions limits the sessions that other processes of the cell open.
+	MaxSessions int `json:"max_sessions"`
+	// BodyBudgetMB limits the memory of requests' bodies in progress, and FrameBudgetMB that of messages from processes of
+	// the cell. Their defaults depend on MemoryLimitMB.
+	BodyBudgetMB  int `json:"body_budget_mb"`
+	FrameBudgetMB int `json:"frame_budget_mb"`
+	// HeaderTimeoutMs, BodyTimeoutMs and ResponseTimeoutMs limit the time to receive headers, to receive a body or message,
+	// and to send a response.
+	HeaderTimeoutMs   int `json:"header_timeout_ms"`
+	BodyTimeoutMs     int `json:"body_timeout_ms"`
+	ResponseTimeoutMs int `json:"response_timeout_ms"`
 }
 
 // Queues holds the settings for submitted jobs.
@@ -73,6 +89,22 @@
 		{Path: "entry_lease_ms", Value: &s.EntryLeaseMs, Default: 3_000, Min: 100, Max: 13_000},
 		{Path: "target_silent_ms", Value: &s.TargetSilentMs, Default: 4_000, Min: 100, Max: 60_000},
 		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Default: 28, Min: 16, Max: 4_096},
+		{Path: "max_connections", Value: &s.MaxConnections, Default: 1_536, Min: 16, Max: 65_536},
+		{Path: "max_side_connections", Value: &s.MaxSideConnections, Default: 64, Min: 8, Max: 4_096},
+		{Path: "max_sessions", Value: &s.MaxSessions, Default: 512, Min: 16, Max: 4_096},
+		{Path: "header_timeout_ms", Value: &s.HeaderTimeoutMs, Default: 5_000, Min: 100, Max: 60_000},
+		{Path: "body_timeout_ms", Value: &s.BodyTimeoutMs, Default: 20_000, Min: 100, Max: 600_000},
+		{Path: "response_timeout_ms", Value: &s.ResponseTimeoutMs, Default: 20_000, Min: 100, Max: 600_000},
+	}
+}
+
+// budgets returns the settings whose defaults depend on MemoryLimitMB.
+func (s *Settings) budgets() []checker.Number {
+	return []checker.Number{
+		// A configuration of 16 MiB takes 16 MiB, as much again while it is decoded, and is large: it may use three quarters.
+		{Path: "body_budget_mb", Value: &s.BodyBudgetMB, Default: max(64, s.MemoryLimitMB/2), Min: 1, Max: 4_096},
+		// A message of 9 MiB takes twice its size, of three quarters.
+		{Path: "frame_budget_mb", Value: &s.FrameBudgetMB, Default: max(32, s.MemoryLimitMB/4), Min: 1, Max: 4_096},
 	}
 }
 
@@ -80,6 +112,7 @@
 func (s *Settings) Check() []loader.Problem {
 	c := checker.New()
 	c.Numbers(s.numbers())
+	c.Numbers(s.budgets())
 	c.Text("name", s.Name)
 	c.Text("failure_domain", s.FailureDomain)
 	c.Text("data_folder", s.DataFolder)
--- a/controld/main.go
+++ b/controld/main.go
@@ -24,7 +24,9 @@
 	"flamingodrift.example/controld/internal/server"
 	"flamingodrift.example/controld/internal/settings"
 	"flamingodrift.example/controld/internal/store"
+	"flamingodrift.example/core/bytelimiter"
 	"flamingodrift.example/core/clock"
+	"flamingodrift.example/core/httpguard"
 	"flamingodrift.example/core/journal"
 	"flamingodrift.example/core/kratoslogger"
 	"flamingodrift.example/core/linewriter"
@@ -32,6 +34,7 @@
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
+	"flamingodrift.example/core/refusalrecorder"
 	"flamingodrift.example/core/starter"
 	"flamingodrift.example/core/wire"
 )
@@ -42,6 +45,12 @@
 	stopTimeout       = 5 * time.Second
 	// diskFullRetryInterval is the interval between attempts to open the data folder while its disk is full.
 	diskFullRetryInterval = 500 * time.Millisecond
+	idleTimeout           = 60 * time.Second
+	maxHeaderBytes        = 16 << 10
+	// smallBytes is the size of a body, and smallFrameBytes that of a message, up to which it may use the last part of its
+	// budget. An ordinary report has below 1 KiB.
+	smallBytes      = 16 << 10
+	smallFrameBytes = 64 << 10
 )
 
 type arguments struct {
@@ -147,9 +156,13 @@
 	if err != nil {
 		return nil, err
 	}
+	refusals := refusalrecorder.New(refusalrecorder.Config{Meter: counters, Logger: log})
+	guard := newGuard(cfg, refusals)
 	var srv *server.Server
 	msgr := messenger.New(messenger.Config{
-		Token: cfg.CellToken, LocalAddress: cfg.Address,
+		Token: cfg.CellToken, LocalAddress: cfg.Address, MaxSessions: cfg.MaxSessions,
+		FrameTimeout: loader.Milliseconds(cfg.BodyTimeoutMs), Recorder: refusals,
+		FrameBudget: bytelimiter.New(bytelimiter.Config{Bytes: int64(cfg.FrameBudgetMB) << 20, SmallBytes: smallFrameBytes}),
 		Handler: func(ctx context.Context, request *wire.Request) *wire.Reply {
 			return srv.Handle(ctx, request)
 		},
@@ -170,13 +183,13 @@
 	if err != nil {
 		return nil, err
 	}
-	queues := newQueueServer(cfg, msgr, log)
+	queues := newQueueServer(cfg, guard, msgr, log)
 	srv = server.New(ctl, queues.consentServer())
 	listener, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, oops.In("messenger").With("address", cfg.Address).Wrapf(err, "listen")
 	}
-	health := khttp.NewServer(khttp.Address(cfg.HealthAddress))
+	health := guard.Server("health", cfg.HealthAddress, cfg.MaxSideConnections)
 	health.HandlePrefix("/metrics", counters.Handler())
 	health.HandlePrefix("/", srv.Health())
 	return &daemon{
@@ -184,6 +197,16 @@
 	}, nil
 }
 
+func newGuard(cfg *settings.Settings, refusals *refusalrecorder.Recorder) *httpguard.Guard {
+	return httpguard.New(httpguard.Config{
+		Budget:         bytelimiter.New(bytelimiter.Config{Bytes: int64(cfg.BodyBudgetMB) << 20, SmallBytes: smallBytes}),
+		HeaderTimeout:  loader.Milliseconds(cfg.HeaderTimeoutMs),
+		BodyTimeout:    loader.Milliseconds(cfg.BodyTimeoutMs),
+		MaxHeaderBytes: maxHeaderBytes, ResponseTimeout: loader.Milliseconds(cfg.ResponseTimeoutMs),
+		IdleTimeout: idleTimeout, Recorder: refusals,
+	})
+}
+
 // openStore opens the data folder. It retries while the disk is full.
 func openStore(folder string, log *slog.Logger) (*store.Store, *store.Contents, error) {
 	for {
--- a/controld/queues.go
+++ b/controld/queues.go
@@ -18,6 +18,7 @@
 	"flamingodrift.example/controld/internal/settings"
 	"flamingodrift.example/controld/internal/store"
 	"flamingodrift.example/core/consentserver"
+	"flamingodrift.example/core/httpguard"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/locator"
 	"flamingodrift.example/core/logger"
@@ -53,8 +54,6 @@
 	// maxReservingGangs bounds the time of a scheduling round: planning a reservation considers all runs on all workers
 	// on which the gang may be placed.
 	maxReservingGangs = 12
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
 )
 
 // bootstrapOnFirstStart creates the data folder of the first node when the whole cell starts for the first time. On
@@ -104,16 +103,14 @@
 }
 
 // newQueueServer returns nil when queues are disabled.
-func newQueueServer(cfg *settings.Settings, msgr *messenger.Messenger, log *slog.Logger) *queueServer {
+func newQueueServer(cfg *settings.Settings, guard *httpguard.Guard, msgr *messenger.Messenger, log *slog.Logger) *queueServer {
 	if cfg.Queues.Address == "" {
 		return nil
 	}
 	leader := locator.New(locator.Config{
 		Messenger: msgr, Controls: append([]string{cfg.AdvertiseAddress}, peerAddresses(cfg)...),
 	})
-	server := khttp.NewServer(khttp.Address(cfg.Queues.Address), khttp.Timeout(0))
-	server.ReadHeaderTimeout = readHeaderTimeout
-	server.IdleTimeout = idleTimeout
+	server := guard.Server("control", cfg.Queues.Address, cfg.MaxConnections)
 	server.HandlePrefix("/", controlhandler.New(controlhandler.Config{
 		Queues: queuecaller.New(leader), Logger: log,
 	}))
--- a/core/operatorproxy/operatorproxy.go
+++ b/core/operatorproxy/operatorproxy.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
+	"flamingodrift.example/core/bodylimiter"
 	"flamingodrift.example/core/locator"
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/operator"
@@ -48,9 +48,9 @@
 		p.refuse(w, http.StatusUnauthorized, reason.Unauthorized, "a bearer token of an operator is needed")
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := bodylimiter.ReadAll(w, r, maxBodyBytes)
 	if err != nil {
-		p.refuse(w, http.StatusRequestEntityTooLarge, reason.RequestTooLarge, "the body cannot be read or is too large")
+		p.refuseBody(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), answerTimeout)
@@ -73,6 +73,19 @@
 	}
 }
 
+// refuseBody answers a request whose body could not be read.
+func (p *Proxy) refuseBody(w http.ResponseWriter, err error) {
+	status := bodylimiter.Status(w, err)
+	if status == http.StatusServiceUnavailable {
+		p.refuse(w, status, reason.LimitReached, err.Error())
+		return
+	}
+	if status == 0 {
+		status = http.StatusRequestEntityTooLarge
+	}
+	p.refuse(w, status, reason.RequestTooLarge, "the body cannot be read or is too large")
+}
+
 func (p *Proxy) refuse(w http.ResponseWriter, status int, why reason.Reason, detail string) {
 	p.cfg.Meter.Refused(why)
 	w.Header().Set("Content-Type", "application/json")
--- a/entryd/daemon.go
+++ b/entryd/daemon.go
@@ -25,11 +25,13 @@
 	"flamingodrift.example/entryd/internal/retrier"
 	"flamingodrift.example/entryd/internal/settings"
 
+	"flamingodrift.example/core/bytelimiter"
 	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/messenger"
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/reason"
+	"flamingodrift.example/core/refusalrecorder"
 	"flamingodrift.example/core/wire"
 )
 
@@ -56,9 +58,12 @@
 	if err != nil {
 		return nil, err
 	}
+	refusals := refusalrecorder.New(refusalrecorder.Config{Meter: meters, Logger: log})
 	d := &daemon{done: make(chan struct{})}
 	d.messenger = messenger.New(messenger.Config{
-		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle,
+		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle, MaxSessions: cfg.MaxSessions,
+		FrameTimeout: loader.Milliseconds(cfg.BodyTimeoutMs), Recorder: refusals,
+		FrameBudget: bytelimiter.New(bytelimiter.Config{Bytes: int64(cfg.FrameBudgetMB) << 20, SmallBytes: smallFrameBytes}),
 	})
 	boot := fmt.Sprintf("%016x-%d", time.Now().UnixNano(), os.Getpid())
 	leader := locator.New(locator.Config{Messenger: d.messenger, Controls: cfg.Controls})
@@ -78,7 +83,7 @@
 		Control: d.heartbeater, Dispatcher: d.dispatcher, Retrier: retrier.New(), Peers: d.messenger, Clock: d.clock,
 		Claimer: d.claimer, Meter: meters, Logger: log,
 	})
-	d.http = newHTTP(cfg.HTTPAddress, connections)
+	d.http = newHTTP(cfg, connections, refusals)
 	d.http.HandlePrefix(gateway.Prefix, d.gateway)
 	d.http.HandlePrefix(operatorproxy.Prefix, operatorproxy.New(operatorproxy.Config{
 		Locator: leader, Operators: cfg.Operators, Meter: meters,
--- a/entryd/http_test.go
+++ b/entryd/http_test.go
@@ -11,8 +11,17 @@
 	"github.com/stretchr/testify/require"
 
 	"flamingodrift.example/entryd/internal/limiter"
+	"flamingodrift.example/entryd/internal/settings"
 )
 
+// httpSettings returns settings that let tests choose the limit of connections.
+func httpSettings(connections int) *settings.Settings {
+	return &settings.Settings{
+		HTTPAddress: "127.0.0.1:0", MaxConnections: connections, BodyBudgetMB: 8,
+		HeaderTimeoutMs: 10_000, BodyTimeoutMs: 10_000, ResponseTimeoutMs: 10_000,
+	}
+}
+
 // Guards against callers that make an entry process buffer headers of any size.
 func TestHeadersAreBounded(t *testing.T) {
 	cases := []struct {
@@ -25,7 +34,7 @@
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := newHTTP(listener.Addr().String(), limiter.New(100))
+	server := newHTTP(httpSettings(100), limiter.New(100), nil)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	for _, c := range cases {
@@ -47,7 +56,7 @@
 	limit := limiter.New(1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := newHTTP(listener.Addr().String(), limit)
+	server := newHTTP(httpSettings(4), limit, nil)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	get := func() *http.Response {
--- a/entryd/internal/collector/collector.go
+++ b/entryd/internal/collector/collector.go
@@ -2,10 +2,10 @@
 package collector
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"flamingodrift.example/core/bodylimiter"
 	"flamingodrift.example/core/wire"
 )
 
@@ -93,8 +94,15 @@
 
 // ServeHTTP accepts an announcement.
 func (c *Collector) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	data, err := bodylimiter.ReadAll(w, request, maxBodyBytes)
+	if status := bodylimiter.Status(w, err); status != 0 {
+		http.Error(w, err.Error(), status)
+		return
+	}
 	a := &announcement{}
-	err := json.NewDecoder(io.LimitReader(request.Body, maxBodyBytes)).Decode(a)
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(a)
+	}
 	if err == nil {
 		err = a.check()
 	}
--- a/entryd/internal/gateway/call.go
+++ b/entryd/internal/gateway/call.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"flamingodrift.example/entryd/internal/dispatcher"
 
+	"flamingodrift.example/core/bodylimiter"
 	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
@@ -73,15 +73,12 @@
 
 // readBody reads the caller's body within the deadline.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request) *result {
-	controller := http.NewResponseController(w)
-	// A ResponseWriter without read deadlines is limited only by the caller's connection.
-	_ = controller.SetReadDeadline(time.Now().Add(c.timeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := bodylimiter.ReadAllWithin(w, r, maxBodyBytes, c.timeout)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodylimiter.ErrTooLarge):
 		return neverRun(reason.RequestTooLarge, fmt.Sprintf("the body exceeds %d bytes", maxBodyBytes))
+	case errors.Is(err, bodylimiter.ErrNoBudget):
+		return notRun(reason.LimitReached, err.Error())
 	case err != nil:
 		return notRun(reason.RequestInvalid, "the body ended early")
 	}
--- a/entryd/internal/poller/poller.go
+++ b/entryd/internal/poller/poller.go
@@ -2,16 +2,17 @@
 package poller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"flamingodrift.example/core/bodylimiter"
 	"flamingodrift.example/core/wire"
 )
 
@@ -170,8 +171,16 @@
 
 // ServeHTTP accepts a worker's poll and answers with the leader's orders.
 func (p *Poller) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	data, err := bodylimiter.ReadAll(w, request, maxBodyBytes)
+	if status := bodylimiter.Status(w, err); status != 0 {
+		http.Error(w, err.Error(), status)
+		return
+	}
 	body := &poll{}
-	if err := json.NewDecoder(io.LimitReader(request.Body, maxBodyBytes)).Decode(body); err != nil {
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(body)
+	}
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/entryd/internal/settings/settings.go
+++ b/entryd/internal/settings/settings.go
@@ -34,6 +34,17 @@
 	// MaxConnections bounds the open HTTP connections. Above it, requests are refused and their connections closed.
 	MaxConnections int `json:"max_connections"`
 	MemoryLimitMB  int `json:"memory_limit_mb"`
+	// MaxSessions limits the sessions that other processes of the cell open.
+	MaxSessions int `json:"max_sessions"`
+	// BodyBudgetMB limits the memory of requests' bodies in progress, and FrameBudgetMB that of messages from processes of
+	// the cell. Their defaults depend on MemoryLimitMB.
+	BodyBudgetMB  int `json:"body_budget_mb"`
+	FrameBudgetMB int `json:"frame_budget_mb"`
+	// HeaderTimeoutMs, BodyTimeoutMs and ResponseTimeoutMs limit the time to receive headers, to receive a body or message,
+	// and to send a response.
+	HeaderTimeoutMs   int `json:"header_timeout_ms"`
+	BodyTimeoutMs     int `json:"body_timeout_ms"`
+	ResponseTimeoutMs int `json:"response_timeout_ms"`
 }
 
 func (s *Settings) numbers() []checker.Number {
@@ -46,6 +57,20 @@
 		{Path: "stop_ms", Value: &s.StopMs, Default: 15_000, Min: 100, Max: 600_000},
 		{Path: "max_connections", Value: &s.MaxConnections, Default: 1_024, Min: 16, Max: 65_536},
 		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Default: 28, Min: 16, Max: 4_096},
+		{Path: "max_sessions", Value: &s.MaxSessions, Default: 256, Min: 16, Max: 4_096},
+		{Path: "header_timeout_ms", Value: &s.HeaderTimeoutMs, Default: 10_000, Min: 100, Max: 60_000},
+		{Path: "body_timeout_ms", Value: &s.BodyTimeoutMs, Default: 10_000, Min: 100, Max: 600_000},
+		{Path: "response_timeout_ms", Value: &s.ResponseTimeoutMs, Default: 10_000, Min: 100, Max: 600_000},
+	}
+}
+
+// budgets returns the settings whose defaults depend on MemoryLimitMB.
+func (s *Settings) budgets() []checker.Number {
+	return []checker.Number{
+		// An operator's request of 8 MiB takes half as much again while it is received, of three quarters.
+		{Path: "body_budget_mb", Value: &s.BodyBudgetMB, Default: max(24, s.MemoryLimitMB/2), Min: 1, Max: 4_096},
+		// A message of 9 MiB takes twice its size, of three quarters.
+		{Path: "frame_budget_mb", Value: &s.FrameBudgetMB, Default: max(32, s.MemoryLimitMB/4), Min: 1, Max: 4_096},
 	}
 }
 
@@ -53,6 +78,7 @@
 func (s *Settings) Check() []loader.Problem {
 	c := checker.New()
 	c.Numbers(s.numbers())
+	c.Numbers(s.budgets())
 	if s.ConfigValidityMs <= s.BeatMs {
 		c.AddProblem("currency_ms", fmt.Sprint(s.ConfigValidityMs), "above beat_ms")
 	}
--- a/frontd/daemon.go
+++ b/frontd/daemon.go
@@ -11,8 +11,10 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/samber/oops"
 
+	"flamingodrift.example/core/bytelimiter"
 	"flamingodrift.example/core/clock"
 	"flamingodrift.example/core/consentserver"
+	"flamingodrift.example/core/httpguard"
 	"flamingodrift.example/core/loader"
 	"flamingodrift.example/core/locator"
 	"flamingodrift.example/core/logger"
@@ -20,6 +22,7 @@
 	"flamingodrift.example/core/meter"
 	"flamingodrift.example/core/operatorproxy"
 	"flamingodrift.example/core/queuecaller"
+	"flamingodrift.example/core/refusalrecorder"
 	"flamingodrift.example/core/wire"
 	"flamingodrift.example/frontd/internal/settings"
 	"flamingodrift.example/platform/consentclient"
@@ -27,8 +30,6 @@
 )
 
 const (
-	// headerTimeout closes connections that send their headers too slowly, so that they cannot exhaust all connections.
-	headerTimeout  = 5 * time.Second
 	idleTimeout    = 30 * time.Second
 	maxHeaderBytes = 16 << 10
 	// keepAliveInterval is the interval and timeout of the probes of a session. A session that is cut off silently is
@@ -37,6 +38,10 @@
 	// maxLeaderSilence is the time without a reply from a leader after which the readiness check fails, so that the
 	// load balancer uses other processes.
 	maxLeaderSilence = 2500 * time.Millisecond
+	// smallBytes is the size of a body, and smallFrameBytes that of a message, up to which it may use the last part of its
+	// budget.
+	smallBytes      = 16 << 10
+	smallFrameBytes = 64 << 10
 )
 
 // daemon holds the components of a frontd process. It implements kratos' transport.Server.
@@ -61,22 +66,26 @@
 	if err != nil {
 		return nil, oops.In("meter").Wrapf(err, "create counters")
 	}
+	refusals := refusalrecorder.New(refusalrecorder.Config{Meter: counters, Logger: log})
 	d := &daemon{log: log}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.messenger = messenger.New(messenger.Config{
 		Token: cfg.CellToken, LocalAddress: cfg.Address, Handler: d.handle, KeepAlive: keepAliveInterval,
-		Logger: log,
+		Logger: log, MaxSessions: cfg.MaxSessions, FrameTimeout: loader.Milliseconds(cfg.BodyTimeoutMs), Recorder: refusals,
+		FrameBudget: bytelimiter.New(bytelimiter.Config{Bytes: int64(cfg.FrameBudgetMB) << 20, SmallBytes: smallFrameBytes}),
 	})
 	d.leader = locator.New(
 		locator.Config{Messenger: d.messenger, Controls: loader.SamePortAddresses(cfg.Seeds, cfg.Address)})
 	d.consent = consentserver.New(consentserver.Config{
 		Name: cfg.Name, Address: cfg.Address, Consenter: consentclient.New(cfg.ConsentAddress), Leader: d.leader, Logger: log,
 	})
-	callers := newServer(cfg.CallerAddress)
-	callers.HandlePrefix("/", d.instrument(counters, d.closeWhileLeaving(jobhandler.New(queuecaller.New(d.leader)))))
-	ready := newServer(cfg.ReadyAddress)
+	guard := newGuard(cfg, refusals)
+	callers := guard.Server("callers", cfg.CallerAddress, cfg.MaxConnections)
+	jobs := jobhandler.New(jobhandler.Config{Queues: queuecaller.New(d.leader), MaxJobBytes: int64(cfg.MaxJobBytes)})
+	callers.HandlePrefix("/", d.instrument(counters, d.closeWhileLeaving(jobs)))
+	ready := guard.Server("ready", cfg.ReadyAddress, cfg.MaxSideConnections)
 	ready.HandlePrefix("/", http.HandlerFunc(d.ready))
-	metrics := newServer(cfg.MetricsAddress)
+	metrics := guard.Server("metrics", cfg.MetricsAddress, cfg.MaxSideConnections)
 	metrics.HandlePrefix("/metrics", counters.Handler())
 	metrics.HandlePrefix(operatorproxy.Prefix, operatorproxy.New(
 		operatorproxy.Config{Locator: d.leader, Operators: cfg.Operators, Meter: counters}))
@@ -87,13 +96,14 @@
 	return d, nil
 }
 
-func newServer(address string) *khttp.Server {
-	// Each request has a timeout of its own; the transport's default timeout of one second would end longer ones early.
-	server := khttp.NewServer(khttp.Address(address), khttp.Timeout(0))
-	server.MaxHeaderBytes = maxHeaderBytes
-	server.ReadHeaderTimeout = headerTimeout
-	server.IdleTimeout = idleTimeout
-	return server
+func newGuard(cfg *settings.Settings, refusals *refusalrecorder.Recorder) *httpguard.Guard {
+	return httpguard.New(httpguard.Config{
+		Budget:         bytelimiter.New(bytelimiter.Config{Bytes: int64(cfg.BodyBudgetMB) << 20, SmallBytes: smallBytes}),
+		HeaderTimeout:  loader.Milliseconds(cfg.HeaderTimeoutMs),
+		BodyTimeout:    loader.Milliseconds(cfg.BodyTimeoutMs),
+		MaxHeaderBytes: maxHeaderBytes, ResponseTimeout: loader.Milliseconds(cfg.ResponseTimeoutMs),
+		IdleTimeout: idleTimeout, Recorder: refusals,
+	})
 }
 
 // statusWriter records the status code of a response.
@@ -102,6 +112,9 @@
 	status int
 }
 
+// Unwrap implements the protocol of http.ResponseController.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // WriteHeader implements http.ResponseWriter.
 func (w *statusWriter) WriteHeader(status int) {
 	w.status = status
--- a/frontd/internal/settings/settings.go
+++ b/frontd/internal/settings/settings.go
@@ -32,16 +32,56 @@
 	StopMs   int `json:"stop_ms"`
 	// MemoryLimitMB is the Go runtime's soft memory limit.
 	MemoryLimitMB int `json:"memory_limit_mb"`
+	// MaxJobBytes is the size of the largest job.
+	MaxJobBytes int `json:"max_job_bytes"`
+	// MaxConnections limits the open connections of CallerAddress. At the limit, those that have waited longest for their client
+	// are closed.
+	MaxConnections int `json:"max_connections"`
+	// MaxSideConnections limits the open connections of ReadyAddress, and of MetricsAddress.
+	MaxSideConnections int `json:"max_side_connections"`
+	// MaxSessions limits the sessions that other processes of the cell open.
+	MaxSessions int `json:"max_sessions"`
+	// BodyBudgetMB limits the memory of requests' bodies in progress, and FrameBudgetMB that of messages from processes of
+	// the cell. Their defaults depend on MemoryLimitMB.
+	BodyBudgetMB  int `json:"body_budget_mb"`
+	FrameBudgetMB int `json:"frame_budget_mb"`
+	// HeaderTimeoutMs, BodyTimeoutMs and ResponseTimeoutMs limit the time to receive headers, to receive a body or message,
+	// and to send a response.
+	HeaderTimeoutMs   int `json:"header_timeout_ms"`
+	BodyTimeoutMs     int `json:"body_timeout_ms"`
+	ResponseTimeoutMs int `json:"response_timeout_ms"`
 }
 
-// Check fills in defaults and returns every problem.
-func (s *Settings) Check() []loader.Problem {
-	c := checker.New()
-	c.Numbers([]checker.Number{
+func (s *Settings) numbers() []checker.Number {
+	return []checker.Number{
 		{Path: "notice_ms", Value: &s.NoticeMs, Default: 2_500, Min: 1, Max: 60_000},
 		{Path: "stop_ms", Value: &s.StopMs, Default: 2_500, Min: 1, Max: 60_000},
 		{Path: "memory_limit_mb", Value: &s.MemoryLimitMB, Default: 48, Min: 16, Max: 4_096},
-	})
+		{Path: "max_job_bytes", Value: &s.MaxJobBytes, Default: 262_144, Min: 1_024, Max: 1_048_576},
+		{Path: "max_connections", Value: &s.MaxConnections, Default: 2_560, Min: 16, Max: 65_536},
+		{Path: "max_side_connections", Value: &s.MaxSideConnections, Default: 64, Min: 8, Max: 4_096},
+		{Path: "max_sessions", Value: &s.MaxSessions, Default: 128, Min: 16, Max: 4_096},
+		{Path: "header_timeout_ms", Value: &s.HeaderTimeoutMs, Default: 5_000, Min: 100, Max: 60_000},
+		{Path: "body_timeout_ms", Value: &s.BodyTimeoutMs, Default: 10_000, Min: 100, Max: 600_000},
+		{Path: "response_timeout_ms", Value: &s.ResponseTimeoutMs, Default: 10_000, Min: 100, Max: 600_000},
+	}
+}
+
+// budgets returns the settings whose defaults depend on MemoryLimitMB.
+func (s *Settings) budgets() []checker.Number {
+	return []checker.Number{
+		// 2,000 ordinary jobs of 10 KB at once take 20 MB. The rest of the limit is for connections and garbage.
+		{Path: "body_budget_mb", Value: &s.BodyBudgetMB, Default: max(24, s.MemoryLimitMB*3/8), Min: 1, Max: 4_096},
+		// Only calls for consent arrive here; they are small.
+		{Path: "frame_budget_mb", Value: &s.FrameBudgetMB, Default: max(8, s.MemoryLimitMB/8), Min: 1, Max: 4_096},
+	}
+}
+
+// Check fills in defaults and returns every problem.
+func (s *Settings) Check() []loader.Problem {
+	c := checker.New()
+	c.Numbers(s.numbers())
+	c.Numbers(s.budgets())
 	c.Text("name", s.Name)
 	c.Token("cell_token", s.CellToken)
 	c.RemoteAddress("address", s.Address)
--- a/frontd/internal/settings/settings_test.go
+++ b/frontd/internal/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -42,4 +44,27 @@
 	_, section, _ := strings.Cut(string(data), "## frontd\n")
 	section, _, _ = strings.Cut(section, "\n## ")
 	require.Empty(t, loader.CompareDocs(section, &Settings{}))
+	for _, n := range (&Settings{}).numbers() {
+		row := regexp.MustCompile("(?m)^\\| `" + n.Path + "` .*$").FindString(section)
+		require.Contains(t, row, fmt.Sprintf("| %d | %d to %d |", n.Default, n.Min, n.Max), n.Path)
+	}
+}
+
+// TestBounds guards against values just outside the bounds that are accepted, and against budgets that are not derived from
+// the memory limit. Zero selects the default.
+func TestBounds(t *testing.T) {
+	for _, n := range append((&Settings{}).numbers(), (&Settings{}).budgets()...) {
+		for _, value := range []int{n.Min - 1, n.Max + 1} {
+			if value == 0 {
+				continue
+			}
+			text := strings.Replace(good, "{", fmt.Sprintf(`{"%s": %d, `, n.Path, value), 1)
+			err := loader.Parse("f.json", []byte(text), &Settings{})
+			require.ErrorContains(t, err, fmt.Sprintf(`%s: "%d" is not allowed`, n.Path, value))
+		}
+	}
+	s := &Settings{}
+	require.NoError(t, loader.Parse("f.json", []byte(strings.Replace(good, "{", `{"memory_limit_mb": 128, `, 1)), s))
+	require.Equal(t, 48, s.BodyBudgetMB)
+	require.Equal(t, 16, s.FrameBudgetMB)
 }
--- a/standin/crowd/cell_test.go
+++ b/standin/crowd/cell_test.go
@@ -107,13 +107,13 @@
 // limits lowers the limits of all programs. The values are far below the defaults, so that few clients reach them.
 var limits = map[string]map[string]any{
 	"frontd": {
-		"memory_limit_mb": 48,
+		"memory_limit_mb": 48, "body_budget_mb": 8, "frame_budget_mb": 8, "max_connections": 64, "max_side_connections": 32,
 	},
 	"controld": {
-		"memory_limit_mb": 64,
+		"memory_limit_mb": 64, "body_budget_mb": 32, "frame_budget_mb": 24, "max_connections": 64, "max_side_connections": 32,
 	},
 	"entryd": {
-		"memory_limit_mb": 48,
+		"memory_limit_mb": 48, "body_budget_mb": 16, "frame_budget_mb": 16, "max_connections": 64,
 	},
 }
 
