--- a/core/meter/meter_test.go
+++ b/core/meter/meter_test.go
@@ -50,6 +50,7 @@
 	m.JobEnded("q", "completed", time.Second)
 	m.RunEnded("done")
 	m.RunTimeCompared("q", "learned", 1.1)
+	m.ClientRefused("connections", "callers")
 	exposed := names(regexp.MustCompile(`(?m)^# TYPE (flamingodrift_\w+) `), scrape(t, m))
 	data, err := os.ReadFile("../../docs/metrics.md")
 	require.NoError(t, err)
