scheduler: only work ahead counts against the limit of a workspace

Cause: admission counted all waiting work of a workspace against its limit, also gangs and batch that go after an urgent job. Change: work of less urgent priorities and excess no longer count.

--- a/controld/internal/scheduler/admit.go
+++ b/controld/internal/scheduler/admit.go
@@ -145,7 +145,6 @@
 	}
 	sc.shares.admitted[id] = a
 	sc.backlog.class(a.class).cpu += a.cpu
-	sc.backlog.workspace(a.class.workspace).waiting += a.cpu
 	if excess {
 		sc.shares.rates.AcceptExcess(job.GetWorkspace(), id, now)
 		return
@@ -200,7 +199,7 @@
 		time.Duration(queue.GetAllowanceMs())*time.Millisecond
 	input.Consent = sc.consentTime(queue, job, now)
 	forecast := f.Forecast(input, now)
-	forecast.Wait = max(forecast.Wait, sc.limitDelay(b, job))
+	forecast.Wait = max(forecast.Wait, sc.limitDelay(b, queue, job))
 	return forecast
 }
 
@@ -213,15 +212,21 @@
 }
 
 // limitDelay returns how long a new job waits for the limit of its workspace, by the rate at which the workspace's runs
-// release processors.
-func (sc *Scheduler) limitDelay(b *backlog, job *wire.SubmittedJob) time.Duration {
+// release processors. Only work of the same or a more urgent priority gets the limit before it.
+func (sc *Scheduler) limitDelay(b *backlog, queue *wire.Queue, job *wire.SubmittedJob) time.Duration {
 	free, limited := sc.batch.WorkspaceFree(job.GetWorkspace())
-	use := b.workspace(job.GetWorkspace())
-	missing := use.waiting + startCPU(job) - free.CPU()
-	if !limited || missing <= 0 || use.releasing <= 0 {
+	releasing := b.releasing[job.GetWorkspace()]
+	if !limited || releasing <= 0 {
 		return 0
 	}
-	return time.Duration(float64(missing) / use.releasing * float64(time.Second))
+	missing := startCPU(job) - free.CPU()
+	for class, work := range b.work {
+		if class.workspace == job.GetWorkspace() && class.pool == queue.GetPool() && !class.excess &&
+			class.priority <= queue.GetPriority() {
+			missing += work.cpu
+		}
+	}
+	return time.Duration(float64(max(0, missing)) / releasing * float64(time.Second))
 }
 
 // consentTime returns how long it takes to get consent for the first step of a new job: the call, and the wait for a
--- a/controld/internal/scheduler/backlog.go
+++ b/controld/internal/scheduler/backlog.go
@@ -34,20 +34,15 @@
 	releasing float64
 }
 
-// workspaceUse is the same for the runs of a workspace.
-type workspaceUse struct {
-	waiting   int64
-	releasing float64
-}
-
 // backlog sums up the jobs and the workers for admission. Walking all jobs for each submission made a leader with
 // thousands of waiting jobs slow.
 type backlog struct {
-	valid      bool
-	at         time.Duration
-	work       map[workClass]*waitingWork
-	pools      map[string]*poolUse
-	workspaces map[string]*workspaceUse
+	valid bool
+	at    time.Duration
+	work  map[workClass]*waitingWork
+	pools map[string]*poolUse
+	// releasing is the rate at which the present runs of each workspace are expected to release processors a second.
+	releasing map[string]float64
 	// ranks orders workspaces by their use of their shares; nil without shares.
 	ranks *shareranker.Ranker
 	// forecasters observe the pools.
@@ -86,15 +81,6 @@
 	return p
 }
 
-func (b *backlog) workspace(name string) *workspaceUse {
-	w := b.workspaces[name]
-	if w == nil {
-		w = &workspaceUse{}
-		b.workspaces[name] = w
-	}
-	return w
-}
-
 // updateBacklog updates the backlog after a command. Submissions are added one by one, as there may be a thousand a
 // second; any other command makes the next admission count anew.
 func (sc *Scheduler) updateBacklog(effect batch.Effect) {
@@ -134,7 +120,7 @@
 		return b
 	}
 	b.valid, b.at, b.ranks = true, now, sc.shareRanks()
-	b.work, b.pools, b.workspaces = map[workClass]*waitingWork{}, map[string]*poolUse{}, map[string]*workspaceUse{}
+	b.work, b.pools, b.releasing = map[workClass]*waitingWork{}, map[string]*poolUse{}, map[string]float64{}
 	for _, incarnation := range sc.batch.Incarnations() {
 		p := b.pool(incarnation.Report().GetPool())
 		p.capacity += incarnation.Capacity().CPU()
@@ -146,22 +132,19 @@
 		class := jobClass{j.Queue(), j.Workspace(), sc.isExcess(j)}
 		s := sums[class]
 		if s == nil {
-			s = &classSums{
-				b.class(classOf(j, class.excess)), b.pool(j.Queue().GetPool()), b.workspace(class.workspace),
-			}
+			s = &classSums{work: b.class(classOf(j, class.excess)), pool: b.pool(j.Queue().GetPool())}
 			sums[class] = s
 		}
 		timing := sc.timings[j]
 		s.work.addWaiting(j, &timing)
 		if forecasts {
-			s.add(j, &timing, now)
+			b.releasing[class.workspace] += s.add(j, &timing, now)
 		}
 	}
 	sc.shares.removeUncommitted(now)
 	for id, a := range sc.shares.admitted {
 		if sc.batch.Job(id) == nil {
 			b.class(a.class).cpu += a.cpu
-			b.workspace(a.class.workspace).waiting += a.cpu
 		}
 	}
 	for name, p := range b.pools {
@@ -179,29 +162,28 @@
 
 // classSums holds the sums to which the jobs of a class are added.
 type classSums struct {
-	work      *waitingWork
-	pool      *poolUse
-	workspace *workspaceUse
+	work *waitingWork
+	pool *poolUse
 }
 
-// add adds what forecasts need to know of a job.
-func (s *classSums) add(j *batch.Job, timing *jobTiming, now time.Duration) {
+// add adds what forecasts need to know of a job, and returns the rate at which its runs release processors.
+func (s *classSums) add(j *batch.Job, timing *jobTiming, now time.Duration) (releasing float64) {
 	for number, step := range j.Steps() {
 		if ms := timing.lengthsMs[number]; step.ActiveRuns() > 0 && ms > 0 {
 			rate := float64(int64(step.ActiveRuns())*step.Need().CPU()) / float64(ms) * 1000
 			s.pool.releasing += rate
-			s.workspace.releasing += rate
+			releasing += rate
 		}
 		waiting := step.Waiting()
 		if waiting == 0 || !step.Ready() {
 			continue
 		}
 		cpu := int64(waiting) * step.Need().CPU()
-		s.workspace.waiting += cpu
 		if now > timing.acceptedAt+overdueFactor*timing.objective-timing.criticalPaths[number] {
 			s.work.overdueCPU += cpu
 		} else {
 			s.work.cpu += cpu
 		}
 	}
+	return releasing
 }
