--- a/controld/internal/explainer/queues.go
+++ b/controld/internal/explainer/queues.go
@@ -35,6 +35,8 @@
 	LateJobs int `json:"late_jobs"`
 	// LongestWaitMs is the longest time for which the leader has known a job of WaitingJobs; the job may be older.
 	LongestWaitMs int64 `json:"longest_wait_ms"`
+	// LearnedRunMs is the mean length of a task's run as ended runs tell; 0 if too few have ended.
+	LearnedRunMs uint32 `json:"learned_run_ms,omitempty"`
 	// Reasons counts the waiting steps by reason.
 	Reasons  map[reason.Reason]int `json:"reasons"`
 	Sentence string                `json:"sentence"`
@@ -59,6 +61,7 @@
 	}
 	list := make([]*Queue, 0, len(lines))
 	for _, q := range lines {
+		q.LearnedRunMs, _ = e.Cell.Batch().Runtimes().Expected(q.Queue, 0)
 		q.Sentence = queueSentence(q)
 		list = append(list, q)
 	}
@@ -102,6 +105,10 @@
 	if q.WaitingJobs > 0 {
 		text += fmt.Sprintf(" The longest wait is %s.", formatDuration(time.Duration(q.LongestWaitMs)*time.Millisecond))
 	}
+	if q.LearnedRunMs > 0 {
+		text += fmt.Sprintf(" Its runs take %s on average.",
+			formatDuration(time.Duration(q.LearnedRunMs)*time.Millisecond))
+	}
 	if q.LateJobs > 0 {
 		text += fmt.Sprintf(" %s no longer meet the objective, so work that can goes first.",
 			countPhrase(q.LateJobs, "job can", "jobs can"))
--- a/controld/internal/explainer/queues_test.go
+++ b/controld/internal/explainer/queues_test.go
@@ -63,6 +63,18 @@
 	return e
 }
 
+// TestQueueRunTimes checks that the run times that were learned of a queue are listed.
+func TestQueueRunTimes(t *testing.T) {
+	e := queueFixture(t)
+	for range 50 {
+		e.Cell.Batch().Runtimes().Record("confirm", 0, 1200, 1)
+	}
+	queue := e.Queues()[0]
+	require.InEpsilon(t, 1200, queue.LearnedRunMs, 0.01)
+	require.Contains(t, queue.Sentence, "Its runs take 1.2s on average.")
+	require.Zero(t, e.Queues()[1].LearnedRunMs)
+}
+
 // TestQueues checks the counts of each queue: jobs, tasks, and reasons for waiting.
 func TestQueues(t *testing.T) {
 	queues := queueFixture(t).Queues()
--- a/controld/internal/runtimeestimator/runtimeestimator.go
+++ b/controld/internal/runtimeestimator/runtimeestimator.go
@@ -23,8 +23,8 @@
 	// stepWeight is the weight of the samples of a step of up to stepWeight tasks together. The tasks of a step differ less
 	// than steps, so that each counts for less the more there are.
 	stepWeight = 16
-	// maxCellWeight is the weight of a range at which all its samples are halved in weight.
-	maxCellWeight = 256 * stepWeight
+	// maxWeight is the weight of a queue at which all its samples are halved in weight.
+	maxWeight = 512 * stepWeight
 	// minWeight is the weight of a queue from which its lengths are known. The mean of 8 steps with a log deviation of 0.5 is
 	// off by a sixth.
 	minWeight = 8 * stepWeight
@@ -57,6 +57,16 @@
 	weight, logSum, squareSum int64
 }
 
+// halve halves the weight, rounded down; the means stay the same.
+func (c *cell) halve() {
+	if c.weight == 0 {
+		return
+	}
+	before := c.weight
+	c.weight /= 2
+	c.logSum, c.squareSum = c.logSum*c.weight/before, c.squareSum*c.weight/before
+}
+
 func (c *cell) mean() int64 { return c.logSum / c.weight }
 
 // statistics holds the samples of a queue and the line through the means of its ranges.
@@ -94,8 +104,10 @@
 	c.weight += weight
 	c.logSum += weight * log
 	c.squareSum += weight * log * log
-	if c.weight >= maxCellWeight {
-		c.weight, c.logSum, c.squareSum = c.weight/2, c.logSum/2, c.squareSum/2
+	if s.weight+weight >= maxWeight {
+		for i := range s.cells {
+			s.cells[i].halve()
+		}
 	}
 	s.update()
 }
@@ -243,7 +255,7 @@
 
 func restoreCell(state *wire.RuntimeCell) (cell, bool) {
 	c := cell{weight: int64(state.GetWeight()), logSum: state.GetLogSum(), squareSum: state.GetLogSquareSum()}
-	ok := state.GetRange() < rangeCount && state.GetWeight() > 0 && state.GetWeight() < maxCellWeight &&
+	ok := state.GetRange() < rangeCount && state.GetWeight() > 0 && state.GetWeight() < maxWeight &&
 		c.logSum >= 0 && c.logSum <= c.weight*32*unit && c.squareSum >= 0 && c.squareSum <= c.weight*32*unit*32*unit
 	return c, ok
 }
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -95,6 +95,15 @@
 	slowRuns float64
 	// speeds are those of the workers, in turn; nil means the usual ones.
 	speeds []float64
+	// slowdown makes a share of the workers slower for some time.
+	slowdown slowdown
+}
+
+// slowdown divides the speed of a share of the workers. It affects the runs that start while it lasts.
+type slowdown struct {
+	from, until time.Duration
+	share       float64
+	factor      float64
 }
 
 const slowRunFactor = 7
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -75,6 +75,7 @@
 	s.hasAnswered, s.unreachable = true, false
 	s.clock, s.clockAt, s.hasClock = answer.Clock, now, true
 	s.latestClock = max(s.latestClock, answer.Clock)
+	s.answerGap = o.SentAt - s.lastAnswerAt
 	s.lastAnswerAt, s.lastHeardAt, s.renewAt = now, now, now
 	s.leaseOver, s.leaseCrashes = false, nil
 	s.aliveAt = max(s.aliveAt, o.SentAt)
--- a/controld/internal/scheduler/runtimes.go
+++ b/controld/internal/scheduler/runtimes.go
@@ -19,6 +19,9 @@
 	// maxStepFactor bounds by which factor the length of one task may differ from what is expected of its step: a few
 	// percent of the runs take seven times as long.
 	maxStepFactor = 3
+	// maxAnswerGap bounds how late a run's end may be reported for its length to be known. A renewal is open nearly always,
+	// and answered when a run ends; a worker that was cut off reports its ends later. The longest usual gap is commitWait.
+	maxAnswerGap = 250 * time.Millisecond
 	// timingInterval is how often the times of all jobs are computed anew from what was learned since.
 	timingInterval = time.Second
 )
@@ -92,7 +95,7 @@
 // runLength returns how long a successful run took on its worker, by the worker's clock; 0 if that is not known or says
 // nothing about the length of the task.
 func (sc *Scheduler) runLength(s *session, t *batch.Task, r *run) time.Duration {
-	if !r.measurable() {
+	if !r.measurable() || s.answerGap > maxAnswerGap {
 		return 0
 	}
 	length := s.clock - r.startClock
--- a/controld/internal/scheduler/runtimes_test.go
+++ b/controld/internal/scheduler/runtimes_test.go
@@ -34,12 +34,15 @@
 		name    string
 		run     func(h *harness) executor.Run
 		outcome executor.Outcome
+		// cutOff is set if the renewal that was open before got no answer.
+		cutOff bool
 		// delay is how long the answer to the renewal takes to arrive.
 		delay time.Duration
 		want  uint32
 	}{
 		{name: "done", run: start, outcome: executor.OutcomeDone, want: 800},
 		{name: "late answer", run: start, outcome: executor.OutcomeDone, delay: 300 * time.Millisecond, want: 800},
+		{name: "reported late", run: start, outcome: executor.OutcomeDone, cutOff: true},
 		{name: "failed", run: start, outcome: executor.OutcomeFailed},
 		{name: "stopped", run: start, outcome: executor.OutcomeStopped},
 		{
@@ -83,6 +86,13 @@
 			run := test.run(h)
 			h.advance(800 * time.Millisecond)
 			require.NotEmpty(t, h.work.Renewals)
+			if test.cutOff {
+				open := h.work.Renewals[0]
+				h.work.Renewals = nil
+				h.Renewed(open, executor.Report{}, executor.Answer{}, h.now)
+				h.advance(renewRetryDelay)
+				h.advance(sessionCheckInterval)
+			}
 			o, answer := h.work.Renewals[0], h.answer(executor.Done)
 			h.now += test.delay
 			h.Renewed(o, executor.Report{
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -48,6 +48,8 @@
 	lastAnswerAt time.Duration
 	// answerMadeAt is when the worker made its last answer, as its clock shows. This process may have been paused since.
 	answerMadeAt time.Duration
+	// answerGap is how long no renewal was open before the one that the worker answered last.
+	answerGap time.Duration
 	// lastHeardAt is when the worker last answered an order or reported.
 	lastHeardAt time.Duration
 	// reportedAt is when the worker's newest report came, and reportSequence the number of that report.
