--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -111,6 +111,15 @@
 	hot             hotWorkspace
 	// retries is how often clients submit a refused job again.
 	retries int
+	// slowdown makes a share of the workers slower for some time.
+	slowdown slowdown
+}
+
+// slowdown divides the speed of a share of the workers. It affects the runs that start while it lasts.
+type slowdown struct {
+	from, until time.Duration
+	share       float64
+	factor      float64
 }
 
 const slowRunFactor = 7
