core, platform, standin: tests of the limits; fewer ways to reach them

Cause: the sheet's parser held 152 bytes for each byte of a line of commas, and compared all columns with each other. At the limit of connections, those whose client does not read a response kept out ordinary ones until the time limit (23 s for the ordinary request after 64 unread configurations).

Change: a row of a sheet has 16,384 columns at most; a connection whose response is being sent may be closed at the limit, after silent and idle ones. One more case of the crowd: configurations that compress badly and are not read.

--- a/core/bodylimiter/bodylimiter.go
+++ b/core/bodylimiter/bodylimiter.go
@@ -61,7 +61,7 @@
 // request whose body was not read to its end, without receiving the rest of it unless it is small.
 func (l *Limiter) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e := &exchange{ResponseWriter: w, limiter: l, rest: restOf(r)}
+		e := &exchange{ResponseWriter: w, limiter: l, request: r, rest: restOf(r)}
 		defer e.end()
 		next.ServeHTTP(e, r)
 	})
@@ -71,6 +71,7 @@
 type exchange struct {
 	http.ResponseWriter
 	limiter *Limiter
+	request *http.Request
 	// reserved is what the call has reserved of the budget.
 	reserved int64
 	// rest is what is left to receive of the body.
@@ -125,6 +126,9 @@
 		return
 	}
 	e.responded = true
+	if e.request != nil {
+		connlimiter.SetResponding(e.request.Context())
+	}
 	controller := http.NewResponseController(e.ResponseWriter)
 	switch e.rest {
 	case restNone:
--- a/core/connlimiter/connlimiter.go
+++ b/core/connlimiter/connlimiter.go
@@ -40,6 +40,8 @@
 	phaseFresh phase = iota
 	// phaseIdle is between two requests.
 	phaseIdle
+	// phaseResponding is while a response is sent.
+	phaseResponding
 	// phaseReceiving is while the body of a request is received.
 	phaseReceiving
 	// phaseBusy is while a request is handled.
@@ -83,7 +85,7 @@
 
 type contextKey struct{}
 
-// Context adds a connection to the context of its requests, for Receiving. It is installed as a server's ConnContext.
+// Context adds a connection to the context of its requests, for SetReceiving and SetResponding. It is installed as a server's ConnContext.
 func (l *Limiter) Context(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, contextKey{}, tracked{l, conn})
 }
@@ -96,11 +98,18 @@
 // SetReceiving notes whether the body of a request is being received, given the request's context. It has no effect on a
 // connection without a Limiter.
 func SetReceiving(ctx context.Context, receiving bool) {
+	if receiving {
+		setPhase(ctx, phaseReceiving)
+	} else {
+		setPhase(ctx, phaseBusy)
+	}
+}
+
+// SetResponding notes that the response to a request is being sent, given the request's context.
+func SetResponding(ctx context.Context) { setPhase(ctx, phaseResponding) }
+
+func setPhase(ctx context.Context, to phase) {
 	if t, ok := ctx.Value(contextKey{}).(tracked); ok {
-		to := phaseBusy
-		if receiving {
-			to = phaseReceiving
-		}
 		t.limiter.move(t.conn, to)
 	}
 }
@@ -142,7 +151,7 @@
 
 // pickExcess returns the connection that has waited longest for its client; that of the new entry if there is none.
 func (l *Limiter) pickExcess(opened *entry) net.Conn {
-	for _, waiting := range []phase{phaseFresh, phaseIdle, phaseReceiving} {
+	for _, waiting := range []phase{phaseFresh, phaseIdle, phaseResponding, phaseReceiving} {
 		if first := l.queues[waiting].first; first != nil && first != opened {
 			return first.conn
 		}
@@ -150,9 +159,6 @@
 	return opened.conn
 }
 
-// Settle notes that a connection has sent what it must send first, so that it no longer counts as fresh.
-func (l *Limiter) Settle(conn net.Conn) { l.move(conn, phaseBusy) }
-
 // Close removes a connection that has been closed.
 func (l *Limiter) Close(conn net.Conn) {
 	l.mu.Lock()
--- a/core/connlimiter/connlimiter_test.go
+++ b/core/connlimiter/connlimiter_test.go
@@ -25,7 +25,7 @@
 // TestExcessConnection guards against a limit at which ordinary clients are refused while connections that wait for their
 // clients are kept, and against the closing of a connection whose request is being handled.
 func TestExcessConnection(t *testing.T) {
-	const fresh, idle, receiving, busy = "fresh", "idle", "receiving", "busy"
+	const fresh, idle, responding, receiving, busy = "fresh", "idle", "responding", "receiving", "busy"
 	cases := []struct {
 		name   string
 		phases []string
@@ -34,6 +34,7 @@
 	}{
 		{"the oldest fresh one", []string{busy, fresh, fresh, idle, receiving}, 1},
 		{"the one that has been idle longest", []string{busy, idle, receiving, idle}, 1},
+		{"the one whose response has been sent longest", []string{busy, receiving, responding, responding}, 2},
 		{"the one that has been receiving longest", []string{busy, receiving, receiving}, 1},
 		{"the new one", []string{busy, busy}, 2},
 	}
@@ -52,6 +53,9 @@
 				if phase == idle {
 					l.Track(opened, http.StateIdle)
 				}
+				if phase == responding {
+					connlimiter.SetResponding(l.Context(context.Background(), opened))
+				}
 				if phase == receiving {
 					connlimiter.SetReceiving(l.Context(context.Background(), opened), true)
 				}
--- a/core/sheet/sheet.go
+++ b/core/sheet/sheet.go
@@ -18,7 +18,9 @@
 // Limits of one sheet.
 const (
 	MaxBytes = 4 << 20
-	MaxRows  = 10_000
+	// maxColumns is the number of columns that spreadsheets have.
+	maxColumns = 16_384
+	MaxRows    = 10_000
 	// MaxErrors limits the problems that are listed; further ones are only counted.
 	MaxErrors = 100
 )
@@ -86,9 +88,15 @@
 			Line: line, Column: col, Text: "the sheet is not UTF-8 text; export it as CSV UTF-8",
 		}}}
 	}
+	comma := delimiter(data)
+	if line, found := findWideLine(data, byte(comma)); found {
+		return nil, &Error{Problems: []Problem{{
+			Line: line, Column: 1, Text: fmt.Sprintf("the row has more than %d columns", maxColumns),
+		}}}
+	}
 	p := &parser{reader: csv.NewReader(bytes.NewReader(data)), lineByID: map[string]int{}, data: data}
 	p.reader.FieldsPerRecord = -1
-	p.reader.Comma = delimiter(data)
+	p.reader.Comma = comma
 	s := &Sheet{}
 	s.number = p.readNumber()
 	if len(p.problems) == 0 {
@@ -104,6 +112,29 @@
 	return s, nil
 }
 
+// findWideLine returns the line on which a row exceeds maxColumns. The reader would hold about 100 bytes for each column.
+func findWideLine(data []byte, comma byte) (line int, found bool) {
+	line = 1
+	columns, quoted := 1, false
+	for _, c := range data {
+		switch {
+		case c == '"':
+			quoted = !quoted
+		case c == '\n':
+			line++
+			if !quoted {
+				columns = 1
+			}
+		case c == comma && !quoted:
+			columns++
+			if columns > maxColumns {
+				return line, true
+			}
+		}
+	}
+	return 0, false
+}
+
 // addProblem records a problem, or counts it if MaxErrors are listed already.
 func (p *parser) addProblem(line, col int, format string, args ...any) {
 	if len(p.problems) < MaxErrors {
--- a/standin/crowd/cell_test.go
+++ b/standin/crowd/cell_test.go
@@ -117,7 +117,12 @@
 	},
 }
 
-func startCell(t *testing.T) *cell {
+// deployed holds the memory limits of the deploy templates. All other limits have their defaults.
+var deployed = map[string]map[string]any{
+	"frontd": {"memory_limit_mb": 64}, "controld": {"memory_limit_mb": 160}, "entryd": {},
+}
+
+func startCell(t *testing.T, limits map[string]map[string]any) *cell {
 	folder := t.TempDir()
 	subnet := pickSubnet(t)
 	address := func(host, port int) string { return fmt.Sprintf("%s.%d:%d", subnet, host, port) }
--- a/standin/crowd/crowd_test.go
+++ b/standin/crowd/crowd_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -49,14 +50,14 @@
 	memoryMB, descriptors int
 }
 
-func head(method, path, host, rest string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s\r\n", method, path, host, operatorToken, rest)
+func head(method, path, rest string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s\r\n", method, path, queueHost, operatorToken, rest)
 }
 
 // announced sends a body with its size announced, in pieces, and stops after sent bytes.
 func announced(method, path string, size, sent, piece int) send {
 	return func(conn net.Conn, _ string) {
-		_, err := io.WriteString(conn, head(method, path, queueHost, fmt.Sprintf("Content-Length: %d\r\n", size)))
+		_, err := io.WriteString(conn, head(method, path, fmt.Sprintf("Content-Length: %d\r\n", size)))
 		for at := 0; at < sent && err == nil; at += piece {
 			_, err = conn.Write(payload[at:min(at+piece, sent)])
 		}
@@ -67,7 +68,7 @@
 func chunked(method, path string, sent, chunk int) send {
 	return func(conn net.Conn, _ string) {
 		var text bytes.Buffer
-		text.WriteString(head(method, path, queueHost, "Transfer-Encoding: chunked\r\n"))
+		text.WriteString(head(method, path, "Transfer-Encoding: chunked\r\n"))
 		for at := 0; at < sent; at += chunk {
 			data := payload[at:min(at+chunk, sent)]
 			fmt.Fprintf(&text, "%x\r\n%s\r\n", len(data), data)
@@ -95,7 +96,7 @@
 
 // unread sends requests and never reads a response.
 func unread(path string) send {
-	request := []byte(head("GET", path, queueHost, ""))
+	request := []byte(head("GET", path, ""))
 	return func(conn net.Conn, _ string) {
 		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
 		for range 20_000 {
@@ -163,6 +164,7 @@
 	{"silent", "controld", "control", 320, silent, 150, 160},
 	{"endless headers", "controld", "control", 320, endlessHeaders, 150, 160},
 	{"unread configurations", "controld", "control", 64, unread("/-/config"), 150, 160},
+	{"unread random configurations", "controld", "control", 64, unread("/-/config"), 150, 160},
 	{"silent", "controld", "control health", 160, silent, 150, 140},
 	{"endless headers", "controld", "control health", 160, endlessHeaders, 150, 140},
 	{"unread responses", "controld", "control health", 160, unread("/metrics"), 150, 140},
@@ -191,9 +193,12 @@
 }
 
 func play(t *testing.T, c crowdCase) {
-	served := startCell(t)
-	if c.name == "unread configurations" {
+	served := startCell(t, limits)
+	switch c.name {
+	case "unread configurations":
 		served.configure(t, 2, 4<<20)
+	case "unread random configurations":
+		served.answered(t, "control", http.MethodPut, "/-/config", configuration(t, 2, 1, 4<<20))
 	}
 	p := served.processes[c.program]
 	var group sync.WaitGroup
