soak: workspaces with keys and limits that change during the run

Cause: the soak's callers had no workspaces, so no run under faults showed whether keys and limits hold across changes of leader, partitions and orders that are carried out late.

Change: standin/internal/workspacechecker makes up three workspaces with two keys each, changes keys and limits with each configuration, and checks calls and starts against all configurations that may be in force, while the soak runs. One workspace at a time sends five times its usual. Invalid keys are tried all the time; jobs are also read with another workspace's key, and the logs are searched for keys.

Ruled out: lifting the limits when the faults end. Most tasks of a short soak run after that, and then no limit is in force; they are raised to two fifths of the capacity instead.

--- a/standin/internal/soaker/fleet.go
+++ b/standin/internal/soaker/fleet.go
@@ -15,11 +15,13 @@
 	"flamingodrift.example/core/wire"
 	"flamingodrift.example/platform/consenthandler"
 	"flamingodrift.example/platform/workerserver"
+	"flamingodrift.example/standin/internal/workspacechecker"
 )
 
 const (
 	workerPort       = 8000
 	maxRunsPerWorker = 3
+	taskCPUMillis    = 1000
 	taskDuration     = 300 * time.Millisecond
 	// Long tasks take longer than the lease that a leader asks for.
 	minLongTaskDuration = 7 * time.Second
@@ -45,8 +47,8 @@
 
 // fleet is a set of stand-in workers. From the orders that they receive it checks that no task runs twice at a time,
 // that no task runs again after its completion was acknowledged, that no worker gets more runs than its capacity
-// allows, and that no task of a canceled job starts after cancelGrace, except by an order that arrives late. It records
-// the jobs that started, so that the soak can check that no refused job is among them.
+// allows, that no workspace exceeds its limit, and that no task of a canceled job starts after cancelGrace, except by an
+// order that arrives late. It records the jobs that started, so that the soak can check that no refused job is among them.
 type fleet struct {
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -70,6 +72,9 @@
 	consent  *http.Server
 	// gangs maps the ids of jobs whose step is a gang to the number of members.
 	gangs map[string]int
+	// workspaceByJob maps the ids of jobs to their workspaces.
+	workspaceByJob map[string]int
+	workspaces     *workspacechecker.Checker
 	// maxLease is the longest lease that workers accept.
 	maxLease time.Duration
 	// longJobInterval is the mean interval between jobs with long tasks, in jobs.
@@ -132,8 +137,9 @@
 	stopping bool
 }
 
-func newFleet(cfg Config, subnet string) (*fleet, error) {
+func newFleet(cfg Config, subnet string, workspaces *workspacechecker.Checker) (*fleet, error) {
 	f := &fleet{
+		workspaces: workspaces, workspaceByJob: map[string]int{},
 		maxLease: cfg.longestLease(), longJobInterval: cfg.longJobInterval(), gangs: map[string]int{},
 		lastStart: map[executor.Run]time.Time{},
 		rand:      rand.New(rand.NewPCG(cfg.Seed, 2)), began: time.Now(),
@@ -233,7 +239,7 @@
 	w.sequence++
 	return &wire.WorkerLife{
 		Worker: w.name, BornUnixMs: w.startedUnixMs, Address: w.address, Pool: "pool", FailureDomain: domainName(w.domain),
-		Rack: "r1", CpuMillis: maxRunsPerWorker * 1000, MemoryMb: 1000, Sequence: w.sequence,
+		Rack: "r1", CpuMillis: maxRunsPerWorker * taskCPUMillis, MemoryMb: 1000, Sequence: w.sequence,
 	}
 }
 
@@ -431,6 +437,7 @@
 			f.recordViolation("%s has no capacity for %v", w.name, o.Run)
 		}
 		w.runs[k], f.lastStart[k] = r, now
+		f.checkWorkspace(w, k, r, now)
 		f.beginWork(k, r, now)
 		if w.restarted && f.onStart != nil {
 			close(f.onStart)
--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -13,6 +13,7 @@
 	"flamingodrift.example/core/wire"
 	"flamingodrift.example/platform/callerclient"
 	"flamingodrift.example/standin/internal/relay"
+	"flamingodrift.example/standin/internal/workspacechecker"
 )
 
 const (
@@ -97,14 +98,18 @@
 	// connRand chooses the faults of connections. It is separate from rand, so that one seed gives the same other faults
 	// whatever happens to the connections.
 	connRand *rand.Rand
-	subnet   string
-	began    time.Time
-	controls []*process
-	fronts   []*process
-	relays   []*relay.Relay
-	fleet    *fleet
-	client   *callerclient.Client
-	loops    sync.WaitGroup
+	// workspaces chooses the workspaces' keys and limits by a generator of its own, for the same reason.
+	workspaces *workspacechecker.Checker
+	subnet     string
+	began      time.Time
+	// loadBegan is when the load began.
+	loadBegan time.Time
+	controls  []*process
+	fronts    []*process
+	relays    []*relay.Relay
+	fleet     *fleet
+	client    *callerclient.Client
+	loops     sync.WaitGroup
 	// pendingSubmits counts jobs that are neither known to be accepted nor given up.
 	pendingSubmits sync.WaitGroup
 
@@ -113,8 +118,6 @@
 	partitions map[[2]string]bool
 	accepted   map[string]bool
 	refused    map[string]bool
-	// version is the newest configuration version that was sent.
-	version uint64
 	// acked maps configuration versions to when they were acknowledged.
 	acked  map[uint64]time.Time
 	report Report
@@ -124,7 +127,8 @@
 func New(cfg Config) *Soaker {
 	return &Soaker{
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), connRand: rand.New(rand.NewPCG(cfg.Seed, 3)),
-		client: callerclient.New(), partitions: map[[2]string]bool{},
+		workspaces: workspacechecker.New(cfg.workspaces()),
+		client:     callerclient.New(), partitions: map[[2]string]bool{},
 		accepted: map[string]bool{}, refused: map[string]bool{}, acked: map[uint64]time.Time{},
 	}
 }
@@ -144,8 +148,10 @@
 	if !s.waitUntil(formTimeout, func() bool { return s.configure(ctx) }) {
 		return s.report, fmt.Errorf("the cell did not form within %v", formTimeout)
 	}
+	s.loadBegan = time.Now()
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	s.runEvery(loadCtx, s.cfg.submitInterval(), s.submit)
+	s.runEvery(loadCtx, invalidReadInterval, func(ctx context.Context) { go s.readWithInvalidKey(ctx) })
 	s.runEvery(loadCtx, queryInterval, func(ctx context.Context) { s.queryQueues(ctx) })
 	s.runEvery(loadCtx, configureInterval, func(ctx context.Context) { s.configure(ctx); s.readConfig(ctx) })
 	if s.cfg.Restarts {
@@ -164,9 +170,16 @@
 	stopLoad()
 	s.heal()
 	s.pendingSubmits.Wait()
+	// The waiting jobs make full use of the limits, which are raised so that they end in time. Further calls use keys that
+	// are in force.
+	s.workspaces.RaiseLimits()
+	if !s.waitUntil(settleTimeout, func() bool { return s.configure(ctx) }) {
+		s.recordViolation("no configuration was acknowledged after all faults had ended")
+	}
 	s.settle(ctx)
 	cancel()
 	s.loops.Wait()
+	s.checkLogs()
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	s.report.Violations = append(s.report.Violations, s.fleet.violations...)
@@ -184,7 +197,7 @@
 	var err error
 	for range 100 {
 		s.subnet = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
-		if s.fleet, err = newFleet(s.cfg, s.subnet); err == nil {
+		if s.fleet, err = newFleet(s.cfg, s.subnet, s.workspaces); err == nil {
 			break
 		}
 	}
@@ -341,14 +354,27 @@
 	queuePrefix = "/soak/"
 )
 
-// submit submits a job through random fronts and repeats it until it is accepted. A job that was only ever refused
-// counts as refused when the load ends. After maxAttempts the outcome stays unknown and is not checked.
+// submit submits the next job, and more than one while its workspace sends more than usual.
 func (s *Soaker) submit(ctx context.Context) {
+	workspace := s.workspaces.Draw()
+	count := 1
+	if s.isBursting(workspace) {
+		count = burstFactor
+	}
+	for range count {
+		s.submitJob(ctx, workspace)
+	}
+}
+
+// submitJob submits a job through random fronts and repeats it until it is accepted. A job that was only ever refused
+// counts as refused when the load ends. After maxAttempts the outcome stays unknown and is not checked. One in
+// invalidKeyOneIn jobs is submitted only once, with a key that the newest configuration does not hold.
+func (s *Soaker) submitJob(ctx context.Context, workspace int) {
 	s.pendingSubmits.Add(1)
 	go func() {
 		defer s.pendingSubmits.Done()
 		id := fmt.Sprintf("%016x", rand.Uint64())
-		step := &wire.JobStep{Count: uint32(1 + rand.IntN(3)), CpuMillis: 1000, EstimateMs: 300, Gang: rand.IntN(4) == 0}
+		step := &wire.JobStep{Count: uint32(1 + rand.IntN(3)), CpuMillis: taskCPUMillis, EstimateMs: 300, Gang: rand.IntN(4) == 0}
 		if !s.cfg.Restarts && rand.IntN(crashOneIn) == 0 {
 			// A member of a gang that ends before the crash could complete the job.
 			step.Gang = false
@@ -357,22 +383,34 @@
 		if step.GetGang() {
 			s.fleet.markGang(id, int(step.GetCount()))
 		}
+		s.fleet.markWorkspace(id, workspace)
+		invalid, attempts := rand.IntN(invalidKeyOneIn) == 0, maxAttempts
+		if invalid {
+			attempts = 1
+		}
 		onlyRefused := true
-		for range maxAttempts {
-			call, cancel := context.WithTimeout(context.Background(), callTimeout)
-			status := s.client.Submit(call, s.frontAddress(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id, step)
-			cancel()
+		for range attempts {
+			key := s.workspaces.Key(workspace)
+			if invalid {
+				key = s.workspaces.InvalidKey(workspace)
+			}
+			status := s.call(context.Background(), key, func(ctx context.Context, address string, queue callerclient.Queue) int {
+				return s.client.Submit(ctx, address, queue, id, step)
+			})
 			switch status {
 			case 200:
 				s.mu.Lock()
 				s.accepted[id] = true
 				s.mu.Unlock()
+				if rand.IntN(foreignOneIn) == 0 {
+					s.readForeign(id, workspace)
+				}
 				if rand.IntN(cancelOneIn) == 0 {
-					s.cancel(id)
+					s.cancel(id, workspace)
 				}
 				return
-			case 503, 429:
-				if onlyRefused && ctx.Err() != nil {
+			case 503, 429, 401:
+				if onlyRefused && (invalid || ctx.Err() != nil) {
 					s.mu.Lock()
 					s.refused[id] = true
 					s.mu.Unlock()
@@ -387,11 +425,12 @@
 }
 
 // cancel cancels an accepted job through random fronts and repeats it until it is acknowledged.
-func (s *Soaker) cancel(id string) {
+func (s *Soaker) cancel(id string, workspace int) {
 	for range maxAttempts {
-		call, cancel := context.WithTimeout(context.Background(), callTimeout)
-		status := s.client.Cancel(call, s.frontAddress(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id)
-		cancel()
+		status := s.call(context.Background(), s.workspaces.Key(workspace),
+			func(ctx context.Context, address string, queue callerclient.Queue) int {
+				return s.client.Cancel(ctx, address, queue, id)
+			})
 		if status == 200 {
 			s.fleet.mu.Lock()
 			s.fleet.canceled[id] = time.Now()
@@ -404,20 +443,18 @@
 
 // configure sends the next configuration version to a random control process and reports whether it was acknowledged.
 func (s *Soaker) configure(ctx context.Context) bool {
-	s.mu.Lock()
-	s.version++
-	version := s.version
-	s.mu.Unlock()
+	version, workspaces := s.workspaces.Next(time.Now())
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	status := s.client.Configure(call, s.controlAddress(rand.IntN(s.cfg.Controls)), version, &wire.Queue{
 		Name: "soak", Host: queueHost, Prefix: queuePrefix, Pool: "pool",
 		Attempts: 3, Stretch: 2, AllowanceMs: 60_000, TimeoutMs: 3000,
 		Consent: &wire.ConsentPolicy{CallMs: 1, WorkerMs: 0.1, ValidMs: uint32(ticketValidity.Milliseconds())},
-	})
+	}, workspaces)
 	if status != 200 {
 		return false
 	}
+	s.workspaces.Acknowledge(version, time.Now())
 	s.mu.Lock()
 	s.acked[version] = time.Now()
 	s.mu.Unlock()
@@ -466,9 +503,12 @@
 	s.mu.Unlock()
 	s.waitUntil(settleTimeout, func() bool {
 		for id := range pending {
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			state, status := s.client.State(call, s.frontAddress(rand.IntN(s.cfg.Fronts)), queueHost, queuePrefix, id)
-			cancel()
+			var state string
+			status := s.call(ctx, s.workspaces.Key(s.fleet.workspaceOf(id)),
+				func(ctx context.Context, address string, queue callerclient.Queue) (status int) {
+					state, status = s.client.State(ctx, address, queue, id)
+					return status
+				})
 			switch {
 			case s.fleet.isCrashing(id):
 				if state == "failed" || state == "canceled" && s.wasCanceled(id) {
