--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -74,6 +74,16 @@
 	perSecond   float64
 }
 
+// hotWorkspace multiplies the load of one workspace for some time. Its share is that of the usual load, and kind is the
+// only kind of jobs of which it sends more; empty means all.
+type hotWorkspace struct {
+	name        string
+	share       float64
+	kind        string
+	from, until time.Duration
+	factor      float64
+}
+
 // load describes the workers and the jobs of a replay.
 type load struct {
 	workers int
@@ -87,8 +97,24 @@
 	// handover is when another leader takes over; 0 means never.
 	handover time.Duration
 	length   time.Duration
+	// learn makes the Scheduler use the run times that it learns.
+	learn bool
+	// declaredError is the log deviation of the declared from the actual lengths; 0 means 0.2 without outliers.
+	declaredError float64
+	// slowRuns is the share of the runs that take slowRunFactor times as long. The objectives do not allow for it.
+	slowRuns float64
+	// speeds are those of the workers, in turn; nil means the usual ones.
+	speeds []float64
+	// workspaces submit the jobs, each its share of them.
+	workspaces      []*wire.Workspace
+	workspaceShares []float64
+	hot             hotWorkspace
+	// retries is how often clients submit a refused job again.
+	retries int
 }
 
+const slowRunFactor = 7
+
 // kindResult is the result of a kind. Its value share counts jobs that met their objective in full and jobs that took
 // up to three times their objective at a fifth.
 type kindResult struct {
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/speedestimator"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
@@ -42,6 +43,8 @@
 	Logger            *slog.Logger
 	// Meter receives the metrics of jobs and runs. It may be nil.
 	Meter Meter
+	// LearnRunTimes replaces the declared lengths of tasks by those learned from the queue's ended runs.
+	LearnRunTimes bool
 	// Allocator configures the placement policy.
 	Allocator allocator.Config
 }
@@ -54,14 +57,18 @@
 	JobEnded(queue, phase string, took time.Duration)
 	// RunEnded counts an ended run by the reason for its end.
 	RunEnded(reason string)
+	// RunTimeCompared records the length of a successful run divided by what it was expected to take, and what that
+	// expectation is based on: "declared" or "learned".
+	RunTimeCompared(queue, basis string, ratio float64)
 }
 
 // noopMeter discards all metrics.
 type noopMeter struct{}
 
-func (noopMeter) JobStarted(string, time.Duration)       {}
-func (noopMeter) JobEnded(string, string, time.Duration) {}
-func (noopMeter) RunEnded(string)                        {}
+func (noopMeter) JobStarted(string, time.Duration)        {}
+func (noopMeter) JobEnded(string, string, time.Duration)  {}
+func (noopMeter) RunEnded(string)                         {}
+func (noopMeter) RunTimeCompared(string, string, float64) {}
 
 // Scheduler holds the leader's state that is not in the replicated log. It is created for one term and used only by
 // the control goroutine.
@@ -77,6 +84,10 @@
 	consents map[*batch.Step]*consentState
 	helpers  map[string]*helper
 	timings  map[*batch.Job]jobTiming
+	// shares tells which jobs exceed the rate of their workspace.
+	shares *workspaceShares
+	// backlog sums up the waiting work for admission.
+	backlog *backlog
 	// reservations holds where the gangs with reserved capacity will run.
 	reservations map[*batch.Step][]sessionShare
 	// probePool holds the workers that are kept for tasks that must run alone; aloneSince is since when each of these tasks
@@ -85,6 +96,10 @@
 	aloneSince map[*batch.Task]time.Duration
 	ended      []endedJob
 	speeds     map[string]*workerSpeed
+	// speedEstimator holds the workers' speeds as learned from the lengths that speeds does not use.
+	speedEstimator *speedestimator.Estimator
+	// nextTimings is when the times of all jobs are computed anew.
+	nextTimings time.Duration
 	// sessionsByFree caches the usable workers at sessionsByFreeAt, ordered by descending free capacity.
 	sessionsByFree   []*session
 	sessionsByFreeAt time.Duration
@@ -184,12 +199,13 @@
 		consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
 		returned: map[*batch.Incarnation]bool{},
 		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
+		shares: newWorkspaceShares(now), backlog: newBacklog(),
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
-		meanWork: map[string]float64{},
-		changed:  true,
+		meanWork: map[string]float64{}, speedEstimator: speedestimator.New(),
+		changed: true,
 	}
 	for _, j := range b.Active() {
-		sc.timings[j] = newJobTiming(j, now)
+		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
 	}
 	for _, incarnation := range b.Incarnations() {
@@ -208,11 +224,16 @@
 // Applied updates the scheduler with the effect of an applied command.
 func (sc *Scheduler) Applied(effect batch.Effect, now time.Duration) {
 	if j := effect.Accepted; j != nil {
-		sc.timings[j] = newJobTiming(j, now)
+		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
+		sc.shares.applied(j)
 	}
+	sc.updateBacklog(effect)
 	for _, end := range effect.Ended {
 		sc.removeEndedRun(end, now)
+		if end.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
+			sc.updateTiming(end.Task.Step().Job(), now)
+		}
 	}
 	for _, refuted := range effect.Refuted {
 		sc.logRefuted(refuted)
@@ -329,6 +350,7 @@
 	clear(sc.returned)
 	sc.registerRestarted(command, now)
 	if (sc.changed || now >= sc.decideBy) && now >= sc.earliestRound {
+		sc.updateTimings(now)
 		sc.changed, sc.decideBy = false, now+decideInterval
 		sc.stopUnneededRuns(now)
 		command.Placements = sc.decide(now)
@@ -359,6 +381,7 @@
 		for j := range sc.timings {
 			if j.Ended() && j.ActiveRuns() == 0 {
 				delete(sc.timings, j)
+				delete(sc.shares.excess, j)
 			}
 		}
 		for step := range sc.consents {
--- a/core/meter/meter.go
+++ b/core/meter/meter.go
@@ -17,6 +17,9 @@
 	"flamingodrift.example/core/reason"
 )
 
+// maxScrapes bounds the memory of responses that clients do not read.
+const maxScrapes = 32
+
 // Meter holds the metrics of one program.
 type Meter struct {
 	registry *prometheus.Registry
@@ -28,6 +31,9 @@
 	starts   metric.Float64Histogram
 	jobs     metric.Float64Histogram
 	runs     metric.Int64Counter
+	runTimes metric.Float64Histogram
+	// clientRefusals counts clients that exceeded a limit of the process.
+	clientRefusals metric.Int64Counter
 }
 
 // New returns a Meter for the named program.
@@ -48,6 +54,7 @@
 		{&m.retries, "flamingodrift_retries", "Retried requests by reason."},
 		{&m.outcomes, "flamingodrift_outcomes", "Callers' requests by outcome."},
 		{&m.runs, "flamingodrift_runs", "Runs of submitted jobs by how they ended."},
+		{&m.clientRefusals, "flamingodrift_client_refusals", "Requests and connections refused at a limit of the process."},
 	}
 	for _, c := range counters {
 		if *c.counter, err = m.meter.Int64Counter(c.name, metric.WithDescription(c.text)); err != nil {
@@ -70,12 +77,22 @@
 			return nil, fmt.Errorf("create histogram %s: %w", h.name, err)
 		}
 	}
+	const runTimes = "flamingodrift_run_time_ratio"
+	m.runTimes, err = m.meter.Float64Histogram(runTimes,
+		metric.WithDescription("Run times divided by what was expected, by queue and what that is based on."),
+		metric.WithExplicitBucketBoundaries(ratioBounds...))
+	if err != nil {
+		return nil, fmt.Errorf("create histogram %s: %w", runTimes, err)
+	}
 	return m, nil
 }
 
 // latencyBoundsSeconds holds the upper bounds of the histogram buckets.
 var latencyBoundsSeconds = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60}
 
+// ratioBounds holds the upper bounds of the buckets of ratios.
+var ratioBounds = []float64{0.1, 0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 4, 10}
+
 // QueueCallEnded records the duration of a call about queues.
 func (m *Meter) QueueCallEnded(method string, status int, took time.Duration) {
 	m.calls.Record(context.Background(), took.Seconds(), metric.WithAttributes(
@@ -98,6 +115,19 @@
 	m.runs.Add(context.Background(), 1, metric.WithAttributes(attribute.String("why", endReason)))
 }
 
+// RunTimeCompared records the length of a successful run divided by what it was expected to take, and what that is based
+// on.
+func (m *Meter) RunTimeCompared(queue, basis string, ratio float64) {
+	m.runTimes.Record(context.Background(), ratio, metric.WithAttributes(
+		attribute.String("queue", queue), attribute.String("basis", basis)))
+}
+
+// ClientRefused counts a request or connection that was refused at a limit of the process.
+func (m *Meter) ClientRefused(why, listener string) {
+	m.clientRefusals.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("why", why), attribute.String("listener", listener)))
+}
+
 // Refused counts a refused request or change by reason.
 func (m *Meter) Refused(r reason.Reason) {
 	m.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", r.String())))
@@ -129,5 +159,5 @@
 
 // Handler serves the metrics in the Prometheus text format.
 func (m *Meter) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
