--- a/controld/internal/scheduler/runtimes.go
+++ b/controld/internal/scheduler/runtimes.go
@@ -84,9 +84,9 @@
 		if s == nil || s.runs[t] == nil || !s.runs[t].measurable() || s.runs[t].endQueued {
 			continue
 		}
-		so := math.Log(max(1, float64((now-s.runs[t].startAnsweredAt).Milliseconds())*sc.speedOf(s)))
-		if so > mean {
-			sum, weight = sum+bounded(so), weight+1
+		soFar := math.Log(max(1, float64((now-s.runs[t].startAnsweredAt).Milliseconds())*sc.speedOf(s)))
+		if soFar > mean {
+			sum, weight = sum+bounded(soFar), weight+1
 		}
 	}
 	return min(runtimeestimator.MaxRunTimeMs, max(1, int64(math.Exp(sum/weight))))
