scheduler, allocator: tests of shares; free capacity of idle and draining workers

What draining workers have left counted as free. Ruled out: leaving out late work, as late tasks that are no gang can use capacity at once. Change: while more than half is free, all that is free counts; draining workers do not.

--- a/controld/internal/forecaster/forecaster.go
+++ b/controld/internal/forecaster/forecaster.go
@@ -122,7 +122,7 @@
 			urgent += arriving
 		}
 	}
-	free := max(0, usableShare*float64(job.Capacity)-float64(job.InUse))
+	free := freeOf(job)
 	missing := max(0, float64(job.Ahead+job.Need)-free)
 	slack := max(0, job.Objective-job.Length)
 	own := max(least, rate-urgent)
@@ -138,6 +138,15 @@
 	}
 }
 
+// freeOf returns the processors that can be used now. While more than half of them are free, the pieces are large enough
+// for all kinds of tasks.
+func freeOf(job Job) float64 {
+	if 2*job.InUse < job.Capacity {
+		return float64(job.Capacity - job.InUse)
+	}
+	return max(0, usableShare*float64(job.Capacity)-float64(job.InUse))
+}
+
 // Rate returns the rate at which processors come free, in thousandths a second: that expected by the lengths of the runs,
 // corrected by how fast they came free lately.
 func (f *Forecaster) Rate(now time.Duration) float64 {
--- a/controld/internal/forecaster/forecaster_test.go
+++ b/controld/internal/forecaster/forecaster_test.go
@@ -137,6 +137,10 @@
 	require.InDelta(t, 500, f.Forecast(job, now).OthersWait.Milliseconds(), 50)
 	job.InUse -= 1500 * cores
 	require.Zero(t, f.Forecast(job, now).OthersWait)
+	job.Others, job.InUse = 5000*cores, 4900*cores
+	require.Zero(t, f.Forecast(job, now).OthersWait, "most of the processors are free: what waits lacks consent")
+	job.Others = 6000 * cores
+	require.Positive(t, f.Forecast(job, now).OthersWait, "a burst that the free workers cannot hold")
 }
 
 // TestRetryAfterSpreads guards against clients that return at one instant, and against return times outside 1 to 10 s or
--- a/controld/internal/scheduler/admit.go
+++ b/controld/internal/scheduler/admit.go
@@ -169,9 +169,10 @@
 func (sc *Scheduler) forecast(
 	f *forecaster.Forecaster, b *backlog, queue *wire.Queue, job *wire.SubmittedJob, excess bool, now time.Duration,
 ) forecaster.Forecast {
+	pool := b.pool(queue.GetPool())
 	input := forecaster.Job{
-		Priority: queue.GetPriority(), Excess: excess, Capacity: b.pool(queue.GetPool()).capacity,
-		InUse: b.pool(queue.GetPool()).inUse, Need: startCPU(job),
+		Priority: queue.GetPriority(), Excess: excess, Capacity: pool.capacity - pool.draining, InUse: pool.inUse,
+		Need: startCPU(job),
 	}
 	var aheadCPU, aheadCoreMs int64
 	for class, work := range b.work {
--- a/controld/internal/scheduler/backlog.go
+++ b/controld/internal/scheduler/backlog.go
@@ -30,6 +30,8 @@
 // poolUse is the use of a pool of workers. Processors are in thousandths.
 type poolUse struct {
 	capacity, inUse int64
+	// draining is what draining workers have left, which nothing may use.
+	draining int64
 	// releasing is the rate at which present runs are expected to release processors a second.
 	releasing float64
 }
@@ -139,6 +141,9 @@
 		p := b.pool(incarnation.Report().GetPool())
 		p.capacity += incarnation.Capacity().CPU()
 		p.inUse += incarnation.Capacity().CPU() - incarnation.Free().CPU()
+		if incarnation.Draining() {
+			p.draining += incarnation.Free().CPU()
+		}
 	}
 	forecasts := sc.hasShares()
 	sums := map[jobClass]*classSums{}
@@ -158,6 +163,7 @@
 		}
 	}
 	sc.shares.removeUncommitted(now)
+	sc.shares.rates.Keep(func(workspace string) bool { return sc.batch.Workspace(workspace) != nil })
 	for id, a := range sc.shares.admitted {
 		if sc.batch.Job(id) == nil {
 			b.class(a.class).cpu += a.cpu
--- a/controld/internal/scheduler/replay_test.go
+++ b/controld/internal/scheduler/replay_test.go
@@ -84,6 +84,11 @@
 	factor      float64
 }
 
+// lateStarts delays the execution of start orders for some time.
+type lateStarts struct {
+	from, until, delay time.Duration
+}
+
 // load describes the workers and the jobs of a replay.
 type load struct {
 	workers int
@@ -109,6 +114,8 @@
 	workspaces      []*wire.Workspace
 	workspaceShares []float64
 	hot             hotWorkspace
+	// lateStarts makes start orders arrive late.
+	lateStarts lateStarts
 	// retries is how often clients submit a refused job again.
 	retries int
 }
