--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -232,7 +232,13 @@
 	if admission := c.scheduler.Admit(queue, job, now); !admission.Admitted {
 		logger.JobTurnedAway.Log(c.cfg.Logger, append([]any{"job", id, "queue", queue.GetName()}, admission.Fields()...)...)
 		c.countRefusal(admission.Cause)
-		e.turnAway(admission.Reason, admission.RetryAfter)
+		outcome := wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY
+		if admission.Cause == reason.OverShare {
+			outcome = wire.QueueOutcome_QUEUE_OUTCOME_OVER_RATE
+		}
+		e.answer(&wire.QueueReply{
+			Outcome: outcome, Detail: admission.Reason, RetryAfterMs: uint32(admission.RetryAfter.Milliseconds()),
+		})
 		return
 	}
 	c.proposeQueueCommand(e, &wire.QueueCommand{Submit: job}, now, func(result *wire.Result) {
--- a/core/connlimiter/connlimiter_test.go
+++ b/core/connlimiter/connlimiter_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -25,7 +26,7 @@
 // TestExcessConnection guards against a limit at which ordinary clients are refused while connections that wait for their
 // clients are kept, and against the closing of a connection whose request is being handled.
 func TestExcessConnection(t *testing.T) {
-	const fresh, idle, receiving, busy = "fresh", "idle", "receiving", "busy"
+	const fresh, idle, responding, receiving, busy = "fresh", "idle", "responding", "receiving", "busy"
 	cases := []struct {
 		name   string
 		phases []string
@@ -34,6 +35,7 @@
 	}{
 		{"the oldest fresh one", []string{busy, fresh, fresh, idle, receiving}, 1},
 		{"the one that has been idle longest", []string{busy, idle, receiving, idle}, 1},
+		{"the one whose response has been sent longest", []string{busy, receiving, responding, responding}, 2},
 		{"the one that has been receiving longest", []string{busy, receiving, receiving}, 1},
 		{"the new one", []string{busy, busy}, 2},
 	}
@@ -52,8 +54,11 @@
 				if phase == idle {
 					l.Track(opened, http.StateIdle)
 				}
+				if phase == responding {
+					connlimiter.SetResponding(l.Context(context.Background(), opened))
+				}
 				if phase == receiving {
-					connlimiter.SetReceiving(l.Context(context.Background(), opened), true)
+					connlimiter.StartReceiving(l.Context(context.Background(), opened), time.Unix(1, 0))
 				}
 			}
 			last := &conn{}
@@ -71,3 +76,24 @@
 		})
 	}
 }
+
+// TestCloseReceiving guards against closing the connection of a body that has only begun, or one that sends no body.
+func TestCloseReceiving(t *testing.T) {
+	l := connlimiter.New(connlimiter.Config{Max: 10})
+	conns := []*conn{{}, {}, {}}
+	ctx := l.Context(context.Background(), conns[0])
+	for _, opened := range conns {
+		l.Track(opened, http.StateNew)
+		l.Track(opened, http.StateActive)
+	}
+	began := time.Unix(100, 0)
+	connlimiter.StartReceiving(l.Context(context.Background(), conns[1]), began)
+	connlimiter.StartReceiving(l.Context(context.Background(), conns[2]), began.Add(time.Second))
+	require.False(t, connlimiter.CloseReceiving(ctx, began.Add(time.Second), 2*time.Second))
+	require.True(t, connlimiter.CloseReceiving(ctx, began.Add(2*time.Second), 2*time.Second))
+	require.False(t, connlimiter.CloseReceiving(ctx, began.Add(2*time.Second), 2*time.Second))
+	connlimiter.StopReceiving(l.Context(context.Background(), conns[2]))
+	require.False(t, connlimiter.CloseReceiving(ctx, began.Add(time.Hour), 2*time.Second))
+	require.Equal(t, []bool{false, true, false}, []bool{conns[0].closed, conns[1].closed, conns[2].closed})
+	require.Equal(t, 2, l.Len())
+}
--- a/core/queuecaller/queuecaller.go
+++ b/core/queuecaller/queuecaller.go
@@ -133,8 +133,9 @@
 // claimsNoEffect reports whether an outcome tells a caller that its change was not made.
 func claimsNoEffect(outcome wire.QueueOutcome) bool {
 	switch outcome {
-	case wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE,
-		wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY, wire.QueueOutcome_QUEUE_OUTCOME_INVALID:
+	case wire.QueueOutcome_QUEUE_OUTCOME_TURNED_AWAY, wire.QueueOutcome_QUEUE_OUTCOME_OVER_RATE,
+		wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY,
+		wire.QueueOutcome_QUEUE_OUTCOME_INVALID:
 		return true
 	default:
 		return false
--- a/core/queuecaller/queuecaller_test.go
+++ b/core/queuecaller/queuecaller_test.go
@@ -105,6 +105,7 @@
 		{"unknown, then stored", unknownThenOK(), submit(), ok},
 		{"answer lost, then stored", lostThen(ok), submit(), ok},
 		{"answer lost, then turned away", lostThen(turnedAway), submit(), unknown},
+		{"answer lost, then over rate", lostThen(wire.QueueOutcome_QUEUE_OUTCOME_OVER_RATE), submit(), unknown},
 		{"answer lost, then no queue", lostThen(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE), submit(), unknown},
 		{"answer lost, then key revoked", lostThen(wire.QueueOutcome_QUEUE_OUTCOME_UNKNOWN_KEY), submit(), unknown},
 		{"answer to a read lost, then turned away", lostThen(turnedAway), read(), turnedAway},
