--- a/entryd/internal/poller/poller.go
+++ b/entryd/internal/poller/poller.go
@@ -18,6 +18,8 @@
 
 const (
 	maxBodyBytes = 256 << 10
+	// objectMemory is what a task of a poll takes when it is decoded, with the growth of the list and as a message.
+	objectMemory = 512
 	maxNameBytes = 128
 	// maxDetailBytes bounds the detail that a worker reports about a task.
 	maxDetailBytes  = 256
@@ -176,6 +178,10 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if !bodylimiter.Reserve(w, objectMemory*int64(bytes.Count(data, []byte("{")))) {
+		http.Error(w, bodylimiter.ErrNoBudget.Error(), bodylimiter.Status(w, bodylimiter.ErrNoBudget))
+		return
+	}
 	body := &poll{}
 	if err == nil {
 		err = json.NewDecoder(bytes.NewReader(data)).Decode(body)
