allocator: the headroom bars nothing for good

Cause: excess leaves the headroom of each worker free, and so do tasks of priorities other than 0, also on an idle worker. Change: on an idle worker the headroom does not hold for excess, nor for a task that fits into no worker beside it. Ruled out: no headroom for excess at all, which would let a workspace over its rate take what short jobs of others need.

--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -278,11 +278,17 @@
 			free = free.Sub(res.resources)
 		}
 	}
+	capacity := r.workers[worker].Capacity
+	idle := r.free[worker] == capacity
+	full := resource.NewCPU(int64(r.cfg.Headroom * float64(capacity.CPU())))
 	switch {
-	case d.Excess:
+	case d.Excess && !idle:
 		// What runs of priority 0 use does not count towards its headroom: these may be excess themselves.
-		free = free.Sub(resource.NewCPU(int64(r.cfg.Headroom * float64(r.workers[worker].Capacity.CPU()))))
-	case d.Priority > 0 && !d.Gang:
+		free = free.Sub(full)
+	case d.Excess:
+		// A gang that has consent for one worker only may need all of it, and would never start beside the headroom.
+	case d.Priority > 0 && !d.Gang && (!idle || d.Need.FitsIn(capacity.Sub(full))):
+		// A task that needs nearly a whole worker would never start beside the headroom, so it gets an idle one.
 		free = free.Sub(resource.NewCPU(r.headroom(worker)))
 	}
 	return free
--- a/controld/internal/allocator/allocator_test.go
+++ b/controld/internal/allocator/allocator_test.go
@@ -307,6 +307,18 @@
 	}
 }
 
+// TestWholeWorkerTaskStartsOnIdleWorker guards against a task that the headroom bars for good: it needs more of a worker than
+// the headroom leaves, but no more than the worker has (review/5).
+func TestWholeWorkerTaskStartsOnIdleWorker(t *testing.T) {
+	a := New(Config{Headroom: 0.12, StopTime: 400 * time.Millisecond, MaxReservingGangs: 1})
+	idle, busy := workers(32), workers(31)
+	demand := independent(1, 30, candidatesOn(1))
+	require.Equal(t, []int{0}, workersOf(a.Decide(idle, []Demand{demand}, runsFunc(idle, nil)), 0))
+	require.Empty(t, workersOf(a.Decide(busy, []Demand{demand}, runsFunc(busy, nil)), 0))
+	two := independent(2, 15, candidatesOn(1))
+	require.Equal(t, []int{0}, workersOf(a.Decide(idle, []Demand{two}, runsFunc(idle, nil)), 0))
+}
+
 // TestCapacityNeverExceeded checks under a mixed load that the placements of a round fit together into the free
 // capacity.
 func TestCapacityNeverExceeded(t *testing.T) {
--- a/controld/internal/allocator/shares_test.go
+++ b/controld/internal/allocator/shares_test.go
@@ -54,6 +54,16 @@
 			demands: []Demand{excess(urgent(2, 8, candidatesOn(1))), independent(1, 8, candidatesOn(1))},
 			check:   func(t *testing.T, plan Plan) { require.Equal(t, []int{0, 0}, workersOf(plan, 0)) },
 		},
+		{
+			name: "an excess gang that needs the whole of its only worker starts on it when idle", workers: workers(32),
+			demands: []Demand{excess(gang(4, 8, candidatesOn(1)))},
+			check:   func(t *testing.T, plan Plan) { require.Equal(t, []int{0, 0, 0, 0}, workersOf(plan, 0)) },
+		},
+		{
+			name: "an excess task that needs a whole worker starts on an idle one", workers: workers(32),
+			demands: []Demand{excess(urgent(1, 32, candidatesOn(1)))},
+			check:   func(t *testing.T, plan Plan) { require.Equal(t, []int{0}, workersOf(plan, 0)) },
+		},
 		{
 			name: "urgent excess leaves the headroom free, whatever urgent runs use", workers: func() []Worker {
 				list := workers(8)
