--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"time"
 )
 
@@ -213,3 +215,62 @@
 		j.id, j.starts, j.crashes, j.startsAfter, maxStartsAfterCrashes)
 	return j.startsAfter > maxStartsAfterCrashes, nil
 }
+
+// Bounds of the deployment.
+const (
+	configApply = 2 * time.Second
+	visible     = 3 * time.Second
+	cancelTime  = 3 * time.Second
+	stopTimeout = 900 * time.Millisecond
+)
+
+// addedQueue: the operator adds a queue whose path prefix does not end with a slash. Jobs are handed in to it, asked for, and
+// one of them is cancelled.
+func addedQueue(s *scene) (bool, error) {
+	if err := s.begin(labels(6, 0)); err != nil {
+		return false, err
+	}
+	queue := confirm
+	if s.trouble {
+		queue.Name, queue.Prefix = "r-walkin", "/walkin-"
+		if err := s.cell.configure(2, append(slices.Clone(routes), queue), []service{pool}); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(configApply + time.Second)
+	var jobs []*job
+	every(200*time.Millisecond, 4*time.Second, func(int) {
+		jobs = append(jobs, s.client.submit(queue, spec{Name: "confirm", WorkMs: 640}, small))
+	})
+	canceled := s.client.submit(queue, spec{Name: "confirm-canceled", WorkMs: 15_000}, small)
+	s.client.calls.Wait()
+	if !s.isAccepted(append(jobs, canceled)) {
+		return false, fmt.Errorf("a job was not accepted")
+	}
+	time.Sleep(visible + time.Second)
+	lost := 0
+	for _, j := range jobs {
+		status, state := s.client.state(queue, j)
+		s.rec.log("client", "GET %s%s: %d %s", queue.Prefix, j.id, status, state)
+		if status == http.StatusGone {
+			lost++
+		}
+	}
+	s.rec.log("check", "LOST: %d of %d accepted jobs that nobody has cancelled were answered with 410", lost, len(jobs))
+	status, _, _ := s.client.call(http.MethodDelete, queue, canceled.id, nil, 0)
+	s.rec.log("client", "DELETE %s%s: %d", queue.Prefix, canceled.id, status)
+	time.Sleep(cancelTime + stopTimeout + time.Second)
+	s.world.mu.Lock()
+	runsOn := s.world.isRunning(canceled)
+	s.world.mu.Unlock()
+	s.rec.log("check", "UNASKED: after cancel_ms, stop_timeout_ms and one second more the job runs on: %v", runsOn)
+	status, body, _ := s.client.call(http.MethodGet, queue, "", nil, 0)
+	s.rec.log("client", "GET %s: %d %s", queue.Prefix, status, body)
+	return lost > 0, nil
+}
+
+func (s *scene) isAccepted(jobs []*job) bool {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	return !slices.ContainsFunc(jobs, func(j *job) bool { return j.accepted.IsZero() })
+}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,10 +28,11 @@
 }
 
 var cases = map[string]func(*scene) (bool, error){
-	"excluded": excludedWorkers,
-	"unproven": unprovenWorkers,
-	"unplaced": unplacedJobs,
-	"crashing": crashingTask,
+	"excluded":  excludedWorkers,
+	"unproven":  unprovenWorkers,
+	"unplaced":  unplacedJobs,
+	"crashing":  crashingTask,
+	"unslashed": addedQueue,
 }
 
 // The main goroutine starts the processes, and their end is tied to the thread that started them.
