--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -24,6 +24,8 @@
 	// workspaceByKey holds the keys of the configuration in force.
 	workspaceByKey map[string]string
 	incarnations   map[string]*Incarnation
+	// workersVersion counts the changes to what workers there are and what they can run.
+	workersVersion uint64
 	jobs           map[string]*Job
 	// active holds the jobs that have not ended or still have a run on a worker, in the order of acceptance.
 	active []*Job
@@ -124,6 +126,10 @@
 // Incarnations returns the present incarnations by worker. The map must not be changed.
 func (b *Batch) Incarnations() map[string]*Incarnation { return b.incarnations }
 
+// WorkersVersion returns a number that changes whenever a worker comes, goes, begins to drain, or changes its pool, labels,
+// rack or capacity.
+func (b *Batch) WorkersVersion() uint64 { return b.workersVersion }
+
 // Runtimes returns what is known of the run times of each queue's tasks. It must not be changed.
 func (b *Batch) Runtimes() *runtimeestimator.Estimator { return b.runtimes }
 
@@ -325,6 +331,7 @@
 		return
 	}
 	delete(b.incarnations, inc.worker)
+	b.workersVersion++
 	tasks := make([]*Task, 0, len(inc.tasks))
 	for t := range inc.tasks {
 		tasks = append(tasks, t)
@@ -354,12 +361,15 @@
 		inc := newIncarnation(report)
 		inc.restarted = restarted
 		b.incarnations[report.GetWorker()] = inc
+		b.workersVersion++
 		return
 	}
 	if !present.IsOutdated(report) {
 		b.refuteCrashes(report, effect)
 	}
-	present.update(report)
+	if present.update(report) {
+		b.workersVersion++
+	}
 }
 
 // compact removes ended jobs without runs from the active list and frees their steps and specs, which nothing needs any
@@ -379,8 +389,8 @@
 	return &wire.SubmittedJob{Id: spec.GetId(), Queue: spec.GetQueue(), Workspace: spec.GetWorkspace()}
 }
 
-// resources returns the resources that each task of a step needs.
-func resources(step *wire.JobStep) resource.Vector {
+// Need returns the resources that each task of a step needs.
+func Need(step *wire.JobStep) resource.Vector {
 	return resource.New(&wire.Resources{
 		CpuMilli: step.GetCpuMillis(), MemoryMb: step.GetMemoryMb(), Accelerators: step.GetGpus(),
 	})
--- a/controld/internal/batch/incarnation.go
+++ b/controld/internal/batch/incarnation.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"flamingodrift.example/controld/internal/resource"
@@ -31,17 +33,29 @@
 	return inc
 }
 
-func (inc *Incarnation) update(report *wire.WorkerLife) {
+// update records a report and returns whether it changes what the worker can run.
+func (inc *Incarnation) update(report *wire.WorkerLife) (changed bool) {
 	// A draining worker stays draining until it restarts, so an older report of it is still true, and one of its former state
 	// that arrives late must not undo it.
+	changed = report.GetDraining() && !inc.draining
 	inc.draining = inc.draining || report.GetDraining()
 	if inc.IsOutdated(report) {
-		return
+		return changed
 	}
+	changed = changed || inc.DiffersFrom(report)
 	inc.report = report
 	inc.capacity = resource.New(&wire.Resources{
 		CpuMilli: report.GetCpuMillis(), MemoryMb: report.GetMemoryMb(), Accelerators: report.GetGpus(),
 	})
+	return changed
+}
+
+// DiffersFrom reports whether a report describes another pool, rack, capacity or other labels than the newest one.
+func (inc *Incarnation) DiffersFrom(report *wire.WorkerLife) bool {
+	present := inc.report
+	return report.GetPool() != present.GetPool() || report.GetRack() != present.GetRack() ||
+		report.GetCpuMillis() != present.GetCpuMillis() || report.GetMemoryMb() != present.GetMemoryMb() ||
+		report.GetGpus() != present.GetGpus() || !slices.Equal(report.GetLabels(), present.GetLabels())
 }
 
 // ReportFields returns a worker's report as fields of a log event.
--- a/controld/internal/batch/job.go
+++ b/controld/internal/batch/job.go
@@ -26,7 +26,7 @@
 func newJob(spec *wire.SubmittedJob, queue *wire.Queue, order uint64) *Job {
 	j := &Job{spec: spec, queue: queue, order: order}
 	for number, step := range spec.GetSteps() {
-		s := &Step{job: j, number: number, spec: step, need: resources(step)}
+		s := &Step{job: j, number: number, spec: step, need: Need(step)}
 		for index := range int(step.GetCount()) {
 			s.tasks = append(s.tasks, &Task{step: s, index: index})
 		}
@@ -102,6 +102,8 @@
 	// failedRuns counts the failed runs of a gang, and lastFailedRun is the number of the newest of them.
 	failedRuns    int
 	lastFailedRun int
+	// failed is set once a run of one of the tasks has failed.
+	failed bool
 	// suspected is set once a crash of a worker was recorded against one of the tasks.
 	suspected bool
 }
@@ -124,6 +126,9 @@
 // Suspected reports whether a worker has crashed under one of the tasks and may have done so because of it.
 func (s *Step) Suspected() bool { return s.suspected }
 
+// Failed reports whether a run of one of the tasks has failed.
+func (s *Step) Failed() bool { return s.failed }
+
 // Done reports whether all tasks are done.
 func (s *Step) Done() bool { return s.done == len(s.tasks) }
 
@@ -186,6 +191,7 @@
 // recordFailure records a failed run of a task on a worker. Failures of several members in one run of a gang count
 // once.
 func (s *Step) recordFailure(t *Task, worker string) {
+	s.failed = true
 	if !slices.Contains(t.failedOn, worker) {
 		t.failedOn = append(t.failedOn, worker)
 	}
@@ -269,6 +275,9 @@
 // Failed reports whether a run of the task has failed.
 func (t *Task) Failed() bool { return len(t.failedOn) > 0 }
 
+// FailedWorkers returns on how many workers a run of the task has failed.
+func (t *Task) FailedWorkers() int { return len(t.failedOn) }
+
 // FailedOn reports whether a run of the task has failed on a worker.
 func (t *Task) FailedOn(worker string) bool { return slices.Contains(t.failedOn, worker) }
 
--- a/controld/internal/batch/snapshot.go
+++ b/controld/internal/batch/snapshot.go
@@ -119,6 +119,7 @@
 	t.lastWorker = record.GetLastWorker()
 	t.crashes = newCrashes(record.GetCrashes())
 	s.suspected = s.suspected || len(t.crashes) > 0
+	s.failed = s.failed || len(t.failedOn) > 0
 	for _, c := range t.crashes {
 		if !c.confirmed && !j.Ended() {
 			b.unconfirmed = append(b.unconfirmed, unconfirmedCrash{t, c})
--- a/controld/internal/batch/workspace.go
+++ b/controld/internal/batch/workspace.go
@@ -125,7 +125,7 @@
 		return ""
 	}
 	for number, step := range job.GetSteps() {
-		need := resources(step)
+		need := Need(step)
 		if step.GetGang() {
 			need = need.Times(int64(step.GetCount()))
 		}
--- a/controld/internal/explainer/sentences.go
+++ b/controld/internal/explainer/sentences.go
@@ -17,6 +17,7 @@
 	reason.StopInProgress:       "Its earlier tasks are still stopping; it starts when they have ended.",
 	reason.LeaseNotOver:         "Its earlier worker is silent and may still run it; it starts when that worker's lease has run out.",
 	reason.NoWorkers:            "No worker is available; it starts when a worker joins or a drain ends.",
+	reason.NoMatchingWorker:     "No worker may run it; it starts when one joins that may, and can be cancelled until then.",
 	reason.NotYetDecided:        "The next round of decisions has not looked at it yet.",
 	reason.RecoveryRateLimited:  "Many tasks are placed again after a failure, at a bounded rate; it starts at its turn.",
 	reason.WaitsForStep:         "An earlier step of its job is not done; it starts when that step has ended.",
--- a/controld/internal/forecaster/forecaster.go
+++ b/controld/internal/forecaster/forecaster.go
@@ -87,6 +87,9 @@
 	AheadLength time.Duration
 	// Others is what waiting tasks need that are not excess, whatever their priority.
 	Others int64
+	// Share is the share of the processors in use that come free for the job, where it can use only a part of the pool; 0
+	// stands for all.
+	Share float64
 	// Consent is how long it takes to get consent for the first step, and Length how long the job runs.
 	Consent, Length, Objective time.Duration
 }
@@ -108,7 +111,11 @@
 // Forecast predicts how long a job waits. While it can still meet its objective, it competes with work of a more urgent
 // priority; after that, with all work that can.
 func (f *Forecaster) Forecast(job Job, now time.Duration) Forecast {
-	rate := f.Rate(now)
+	share := job.Share
+	if share == 0 {
+		share = 1
+	}
+	rate := f.Rate(now) * share
 	if rate <= 0 {
 		// Nothing runs. Capacity comes free as what is ahead of the job ends.
 		rate = usableShare * float64(job.Capacity) / max(job.AheadLength.Seconds(), job.Length.Seconds(), 0.1)
@@ -116,7 +123,7 @@
 	least := minRateShare * rate
 	var urgent, all float64
 	for priority, w := range f.arrived {
-		arriving := w.perSecond(now)
+		arriving := w.perSecond(now) * share
 		all += arriving
 		if priority < job.Priority || job.Excess {
 			urgent += arriving
--- a/controld/internal/scheduler/admit.go
+++ b/controld/internal/scheduler/admit.go
@@ -62,13 +62,13 @@
 		return sc.admitShared(queue, job, now)
 	}
 	b := sc.countBacklog(0, now)
-	admission := Admission{Admitted: true, Backlog: b.coreMsAhead(queue), Workspace: job.GetWorkspace()}
-	capacity := b.pool(queue.GetPool()).capacity
-	if capacity == 0 {
+	ahead := b.coreMsAhead(queue)
+	admission := Admission{Admitted: true, Backlog: ahead.sum(), Workspace: job.GetWorkspace()}
+	if b.pool(queue.GetPool()).capacity == 0 {
 		// The workers may not have reported to this leader yet.
 		return admission
 	}
-	wait := time.Duration(float64(admission.Backlog)/(float64(capacity)*usableCapacityShare)*1000) * time.Millisecond
+	wait := sc.backlogWait(b, ahead, queue, job)
 	var totalMs int64
 	for _, step := range job.GetSteps() {
 		totalMs += sc.expectedMs(queue.GetName(), step)
@@ -85,25 +85,13 @@
 	return admission
 }
 
-// coreMsAhead returns the waiting work, in core-milliseconds, of the queue's pool with the queue's priority or a more
-// urgent one.
-func (b *backlog) coreMsAhead(queue *wire.Queue) int64 {
-	var sum int64
-	for class, work := range b.work {
-		if class.pool == queue.GetPool() && class.priority <= queue.GetPriority() {
-			sum += work.coreMs
-		}
-	}
-	return sum
-}
-
 // admitShared decides whether to accept a new job where workspaces have weights. Excess is rejected while other work
 // waits for capacity. Any other job is rejected when it cannot end before its result is worthless.
 func (sc *Scheduler) admitShared(queue *wire.Queue, job *wire.SubmittedJob, now time.Duration) Admission {
 	b := sc.countBacklog(backlogInterval, now)
 	f, pool := b.forecaster(queue.GetPool()), b.pool(queue.GetPool())
 	a := Admission{
-		Admitted: true, Backlog: b.coreMsAhead(queue), Workspace: job.GetWorkspace(),
+		Admitted: true, Backlog: b.coreMsAhead(queue).sum(), Workspace: job.GetWorkspace(),
 		Excess: sc.exceedsRate(job, now),
 	}
 	_, repeated := sc.shares.admitted[job.GetId()]
@@ -121,7 +109,7 @@
 		a.Admitted, a.Cause = false, reason.OverShare
 		a.Reason = "the workspace is over its rate and other work waits for capacity"
 		earliest = forecast.OthersWait
-	case !forecast.InTime():
+	case !forecast.InTime() && sc.startSet(queue, job) != nil:
 		a.Admitted, a.Cause = false, reason.NotInTime
 		a.Reason = "the job could not end before its result is worthless"
 		earliest = forecast.Wait - forecast.Limit
@@ -139,17 +127,14 @@
 	if _, repeated := sc.shares.admitted[id]; repeated {
 		return
 	}
-	a := admittedJob{
-		at: now, excess: excess, cpu: startCPU(job),
-		class: workClass{queue.GetPool(), queue.GetPriority(), job.GetWorkspace(), excess},
-	}
+	a := admittedJob{at: now, excess: excess, queue: queue, job: job}
 	sc.shares.admitted[id] = a
-	sc.backlog.class(a.class).cpu += a.cpu
+	sc.addAdmitted(a)
 	if excess {
 		sc.shares.rates.AcceptExcess(job.GetWorkspace(), id, now)
 		return
 	}
-	sc.backlog.forecaster(queue.GetPool()).Arrived(queue.GetPriority(), totalCPU(job), now)
+	sc.backlog.forecaster(queue.GetPool()).Arrived(queue.GetPriority(), sc.possibleCPU(queue, job), now)
 	if sc.batch.Workspace(job.GetWorkspace()) != nil {
 		sc.shares.rates.Accept(job.GetWorkspace(), id, now)
 	}
@@ -173,6 +158,7 @@
 		Priority: queue.GetPriority(), Excess: excess, Capacity: pool.capacity - pool.draining, InUse: pool.inUse,
 		Need: startCPU(job),
 	}
+	var ahead, others workBySet
 	var aheadCPU, aheadCoreMs int64
 	for class, work := range b.work {
 		if class.pool != queue.GetPool() {
@@ -180,18 +166,23 @@
 		}
 		aheadCPU, aheadCoreMs = aheadCPU+work.cpu, aheadCoreMs+work.coreMs
 		cpu := sc.withinLimit(class.workspace, work.cpu)
-		if !class.excess {
-			input.Others += cpu
+		if !class.excess && cpu > 0 {
+			others.add(class.workers, cpu)
 		}
 		switch {
 		case excess && !class.excess:
 			// All work that is not excess goes first, even if it is overdue.
-			input.Ahead += sc.withinLimit(class.workspace, work.cpu+work.overdueCPU)
+			if cpu = sc.withinLimit(class.workspace, work.cpu+work.overdueCPU); cpu > 0 {
+				ahead.add(class.workers, cpu)
+			}
 		case excess != class.excess || class.priority > queue.GetPriority():
 		case class.priority < queue.GetPriority() || b.ranks.Rank(class.workspace) <= b.ranks.Rank(job.GetWorkspace()):
-			input.Ahead += cpu
+			if cpu > 0 {
+				ahead.add(class.workers, cpu)
+			}
 		}
 	}
+	sc.setCompetition(&input, b, queue, job, ahead, others)
 	if aheadCPU > 0 {
 		input.AheadLength = time.Duration(float64(aheadCoreMs) / float64(aheadCPU) * float64(time.Second))
 	}
@@ -272,17 +263,23 @@
 	var sum int64
 	for _, step := range job.GetSteps() {
 		if len(step.GetAfter()) == 0 {
-			sum += int64(step.GetCount()) * step.GetCpuMillis()
+			sum += stepCPU(step)
 		}
 	}
 	return sum
 }
 
-// totalCPU returns what all steps of a new job need, in thousandths of a core.
-func totalCPU(job *wire.SubmittedJob) int64 {
+// possibleCPU returns what the steps of a new job need that workers could run, in thousandths of a core.
+func (sc *Scheduler) possibleCPU(queue *wire.Queue, job *wire.SubmittedJob) int64 {
+	_, possible := sc.matchJob(queue, job)
 	var sum int64
-	for _, step := range job.GetSteps() {
-		sum += int64(step.GetCount()) * step.GetCpuMillis()
+	for number, step := range job.GetSteps() {
+		if possible[number] {
+			sum += stepCPU(step)
+		}
 	}
 	return sum
 }
+
+// stepCPU returns what the tasks of a step need together, in thousandths of a core.
+func stepCPU(step *wire.JobStep) int64 { return int64(step.GetCount()) * step.GetCpuMillis() }
--- a/controld/internal/scheduler/admit_test.go
+++ b/controld/internal/scheduler/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,38 @@
 	"flamingodrift.example/core/wire"
 )
 
-// formerAdmission decides on a new job as a leader did that counted all jobs for each submission.
+// fitsOnIdleWorkers reports whether the workers could run a step and those that it depends on if they were idle, by looking
+// at each worker.
+func fitsOnIdleWorkers(b *batch.Batch, step *batch.Step) bool {
+	for _, number := range step.Spec().GetAfter() {
+		if before := step.Job().Steps()[number]; !before.Done() && !fitsOnIdleWorkers(b, before) {
+			return false
+		}
+	}
+	needed, copies := int64(1), int64(0)
+	if step.Spec().GetGang() {
+		needed = int64(len(step.Tasks()))
+	}
+	for _, incarnation := range b.Incarnations() {
+		report := incarnation.Report()
+		failed := step.Spec().GetGang() && slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool {
+			return t.FailedOn(incarnation.Worker())
+		})
+		if incarnation.Draining() || report.GetPool() != step.Job().Queue().GetPool() || failed ||
+			step.Spec().GetLabel() != "" && !slices.Contains(report.GetLabels(), step.Spec().GetLabel()) {
+			continue
+		}
+		onWorker := step.Need().CopiesIn(incarnation.Capacity())
+		if most := int64(step.Spec().GetMostPerWorker()); most > 0 {
+			onWorker = min(onWorker, most)
+		}
+		copies += onWorker
+	}
+	return copies >= needed
+}
+
+// formerAdmission decides on a new job as a leader did that counted all jobs for each submission, apart from the steps
+// that no workers could run.
 func formerAdmission(sc *Scheduler, queue *wire.Queue, job *wire.SubmittedJob) Admission {
 	var capacity, backlog, totalMs int64
 	for _, incarnation := range sc.batch.Incarnations() {
@@ -26,7 +58,9 @@
 			continue
 		}
 		for _, step := range j.Steps() {
-			backlog += int64(step.Waiting()) * step.Need().CPU() * sc.stepMs(step) / 1000
+			if fitsOnIdleWorkers(sc.batch, step) {
+				backlog += int64(step.Waiting()) * step.Need().CPU() * sc.stepMs(step) / 1000
+			}
 		}
 	}
 	a := Admission{Admitted: true, Backlog: backlog, Workspace: job.GetWorkspace()}
--- a/controld/internal/scheduler/backlog.go
+++ b/controld/internal/scheduler/backlog.go
@@ -5,6 +5,7 @@
 
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/forecaster"
+	"flamingodrift.example/controld/internal/matcher"
 	"flamingodrift.example/controld/internal/shareranker"
 	"flamingodrift.example/core/wire"
 )
@@ -15,6 +16,8 @@
 	priority  uint32
 	workspace string
 	excess    bool
+	// workers is the set of workers that could do the work.
+	workers *matcher.Set
 }
 
 // waitingWork is the waiting work of a class.
@@ -41,8 +44,11 @@
 type backlog struct {
 	valid bool
 	at    time.Duration
-	work  map[workClass]*waitingWork
-	pools map[string]*poolUse
+	// matcher is the one to which the sets of the classes belong, and inUse what the runs on its groups occupy.
+	matcher *matcher.Matcher
+	inUse   []int64
+	work    map[workClass]*waitingWork
+	pools   map[string]*poolUse
 	// releasing is the rate at which the present runs of each workspace are expected to release processors a second.
 	releasing map[string]float64
 	// ranks orders workspaces by their use of their shares; nil without shares.
@@ -89,8 +95,7 @@
 	b := sc.backlog
 	if j := effect.Accepted; j != nil && len(effect.Placed)+len(effect.Ended) == 0 {
 		if b.valid {
-			timing := sc.timings[j]
-			b.class(classOf(j, sc.isExcess(j))).addWaiting(j, &timing)
+			sc.addWaiting(j, sc.timings[j].lengthsMs)
 		}
 	} else {
 		b.valid = false
@@ -101,56 +106,55 @@
 	}
 }
 
-func classOf(j *batch.Job, excess bool) workClass {
-	return workClass{j.Queue().GetPool(), j.Queue().GetPriority(), j.Workspace(), excess}
+// classOf returns the class of the waiting work of a step.
+func (sc *Scheduler) classOf(step *batch.Step) workClass {
+	j := step.Job()
+	return workClass{
+		pool: j.Queue().GetPool(), priority: j.Queue().GetPriority(), workspace: j.Workspace(), excess: sc.isExcess(j),
+		workers: sc.matchesOf(j).steps[step.Number()].Set(),
+	}
 }
 
-// addWaiting adds the waiting work of a job in core-milliseconds.
-func (w *waitingWork) addWaiting(j *batch.Job, timing *jobTiming) {
-	if j.Ended() {
-		return
-	}
+// addWaiting adds the waiting work of a new job in core-milliseconds.
+func (sc *Scheduler) addWaiting(j *batch.Job, lengthsMs []int64) {
 	for number, step := range j.Steps() {
-		w.coreMs += int64(step.Waiting()) * step.Need().CPU() * timing.lengthsMs[number] / 1000
+		if tasks := sc.possibleTasks(step); tasks > 0 {
+			sc.backlog.class(sc.classOf(step)).coreMs += int64(tasks) * step.Need().CPU() * lengthsMs[number] / 1000
+		}
 	}
 }
 
 // countBacklog counts the backlog anew if a command has changed it, but not more often than each interval.
 func (sc *Scheduler) countBacklog(interval, now time.Duration) *backlog {
 	b := sc.backlog
-	if age := now - b.at; b.work != nil && (age < interval || b.valid && age < maxBacklogAge) {
+	sc.updateMatcher()
+	if age := now - b.at; b.work != nil && b.matcher == sc.matcher && (age < interval || b.valid && age < maxBacklogAge) {
 		return b
 	}
 	b.valid, b.at, b.ranks = true, now, sc.shareRanks()
+	forecasts := sc.hasShares()
+	b.matcher, b.inUse = sc.matcher, make([]int64, len(sc.matcher.Groups()))
 	b.work, b.pools, b.releasing = map[workClass]*waitingWork{}, map[string]*poolUse{}, map[string]float64{}
 	for _, incarnation := range sc.batch.Incarnations() {
 		p := b.pool(incarnation.Report().GetPool())
 		p.capacity += incarnation.Capacity().CPU()
 		p.inUse += incarnation.Capacity().CPU() - incarnation.Free().CPU()
-		if incarnation.Draining() {
-			p.draining += incarnation.Free().CPU()
+		if !forecasts {
+			continue
 		}
-	}
-	forecasts := sc.hasShares()
-	sums := map[jobClass]*classSums{}
-	for _, j := range sc.batch.Active() {
-		class := jobClass{j.Queue(), j.Workspace(), sc.isExcess(j)}
-		s := sums[class]
-		if s == nil {
-			s = &classSums{work: b.class(classOf(j, class.excess)), pool: b.pool(j.Queue().GetPool())}
-			sums[class] = s
+		if g := sc.matcher.GroupOf(incarnation.Worker()); g != nil {
+			b.inUse[g.Index()] += incarnation.Capacity().CPU() - incarnation.Free().CPU()
 		}
-		timing := sc.timings[j]
-		s.work.addWaiting(j, &timing)
-		if forecasts {
-			b.releasing[class.workspace] += s.add(j, &timing, now)
+		if incarnation.Draining() {
+			p.draining += incarnation.Free().CPU()
 		}
 	}
+	sc.countJobs(forecasts, now)
 	sc.shares.removeUncommitted(now)
 	sc.shares.rates.Keep(func(workspace string) bool { return sc.batch.Workspace(workspace) != nil })
 	for id, a := range sc.shares.admitted {
 		if sc.batch.Job(id) == nil {
-			b.class(a.class).cpu += a.cpu
+			sc.addAdmitted(a)
 		}
 	}
 	for name, p := range b.pools {
@@ -159,37 +163,67 @@
 	return b
 }
 
-// jobClass is a workClass that is compared faster.
-type jobClass struct {
+// countJobs adds the jobs that some worker could run to the sums.
+func (sc *Scheduler) countJobs(forecasts bool, now time.Duration) {
+	b := sc.backlog
+	sums := map[stepClass]*waitingWork{}
+	for _, j := range sc.batch.Active() {
+		timing := sc.timings[j]
+		sc.updateMatches(timing.matches, j)
+		for number, step := range j.Steps() {
+			if forecasts {
+				b.addReleasing(step, timing.lengthsMs[number])
+			}
+			tasks := sc.possibleTasksIn(timing.matches, step)
+			if tasks == 0 {
+				continue
+			}
+			class := stepClass{j.Queue(), j.Workspace(), sc.isExcess(j), timing.matches.steps[number].Set()}
+			work := sums[class]
+			if work == nil {
+				work = b.class(sc.classOf(step))
+				sums[class] = work
+			}
+			cpu := int64(tasks) * step.Need().CPU()
+			work.coreMs += cpu * timing.lengthsMs[number] / 1000
+			switch {
+			case !forecasts || !step.Ready():
+			case now > timing.acceptedAt+overdueFactor*timing.objective-timing.criticalPaths[number]:
+				work.overdueCPU += cpu
+			default:
+				work.cpu += cpu
+			}
+		}
+	}
+}
+
+// addReleasing adds the rate at which the runs of a step are expected to release processors.
+func (b *backlog) addReleasing(step *batch.Step, lengthMs int64) {
+	if step.ActiveRuns() == 0 || lengthMs <= 0 {
+		return
+	}
+	rate := float64(int64(step.ActiveRuns())*step.Need().CPU()) / float64(lengthMs) * 1000
+	b.pool(step.Job().Queue().GetPool()).releasing += rate
+	b.releasing[step.Job().Workspace()] += rate
+}
+
+// stepClass is a workClass that is compared faster.
+type stepClass struct {
 	queue     *wire.Queue
 	workspace string
 	excess    bool
+	workers   *matcher.Set
 }
 
-// classSums holds the sums to which the jobs of a class are added.
-type classSums struct {
-	work *waitingWork
-	pool *poolUse
-}
-
-// add adds what forecasts need to know of a job, and returns the rate at which its runs release processors.
-func (s *classSums) add(j *batch.Job, timing *jobTiming, now time.Duration) (releasing float64) {
-	for number, step := range j.Steps() {
-		if ms := timing.lengthsMs[number]; step.ActiveRuns() > 0 && ms > 0 {
-			rate := float64(int64(step.ActiveRuns())*step.Need().CPU()) / float64(ms) * 1000
-			s.pool.releasing += rate
-			releasing += rate
-		}
-		waiting := step.Waiting()
-		if waiting == 0 || !step.Ready() {
-			continue
-		}
-		cpu := int64(waiting) * step.Need().CPU()
-		if now > timing.acceptedAt+overdueFactor*timing.objective-timing.criticalPaths[number] {
-			s.work.overdueCPU += cpu
-		} else {
-			s.work.cpu += cpu
+// addAdmitted adds the work of a job that was admitted and is not in the log yet.
+func (sc *Scheduler) addAdmitted(a admittedJob) {
+	steps, possible := sc.matchJob(a.queue, a.job)
+	for number, step := range a.job.GetSteps() {
+		if possible[number] && len(step.GetAfter()) == 0 {
+			sc.backlog.class(workClass{
+				pool: a.queue.GetPool(), priority: a.queue.GetPriority(), workspace: a.job.GetWorkspace(), excess: a.excess,
+				workers: steps[number].Set(),
+			}).cpu += stepCPU(step)
 		}
 	}
-	return releasing
 }
--- a/controld/internal/scheduler/consent.go
+++ b/controld/internal/scheduler/consent.go
@@ -307,7 +307,7 @@
 		}
 		worker := s.incarnation.Worker()
 		switch {
-		case c.denied[worker] || c.pending[worker] || c.granted[s.incarnation] != nil || !eligible(step, s.incarnation):
+		case c.denied[worker] || c.pending[worker] || c.granted[s.incarnation] != nil || !sc.couldRun(step, s):
 		case !s.reserved && step.Need().FitsIn(s.incarnation.Free()):
 			sessions = append(sessions, s)
 		default:
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -371,8 +371,9 @@
 	}
 	var candidates []allocator.Candidate
 	if step.Job().Queue().GetConsent() == nil {
+		set := sc.matchesOf(step.Job()).steps[step.Number()].Set()
 		for i, s := range r.sessions {
-			if eligible(step, s.incarnation) {
+			if set.Has(s.group) {
 				candidates = append(candidates, allocator.Candidate{Worker: i, HasConsent: true, Placed: placed[i]})
 			}
 		}
--- /dev/null
+++ b/controld/internal/scheduler/matching.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/matcher"
+	"flamingodrift.example/core/wire"
+)
+
+// jobMatches holds which workers could run the steps of a job.
+type jobMatches struct {
+	version uint64
+	steps   []*matcher.Match
+	// possible says for each step whether workers could run it and the steps that it depends on.
+	possible []bool
+}
+
+// updateMatcher replaces the matcher when workers have come, gone or changed, or queues may have another pool.
+func (sc *Scheduler) updateMatcher() {
+	version, config := sc.batch.WorkersVersion(), sc.batch.Config()
+	if sc.matcher != nil && sc.workersVersion == version && sc.matchedConfig == config {
+		return
+	}
+	sc.workersVersion, sc.matchedConfig = version, config
+	sc.matchVersion++
+	workers := make([]matcher.Worker, 0, len(sc.batch.Incarnations()))
+	for worker, incarnation := range sc.batch.Incarnations() {
+		if incarnation.Draining() {
+			continue
+		}
+		report := incarnation.Report()
+		workers = append(workers, matcher.Worker{
+			Name: worker, Pool: report.GetPool(), Labels: report.GetLabels(), Capacity: incarnation.Capacity(),
+		})
+	}
+	slices.SortFunc(workers, func(a, b matcher.Worker) int { return cmp.Compare(a.Name, b.Name) })
+	sc.matcher = matcher.New(workers)
+	for _, s := range sc.sessions {
+		s.group = sc.matcher.GroupOf(s.incarnation.Worker())
+	}
+}
+
+// requirement returns what a step of a job in a queue requires of workers.
+func requirement(queue *wire.Queue, step *wire.JobStep) matcher.Requirement {
+	r := matcher.Requirement{Pool: queue.GetPool(), Label: step.GetLabel(), Need: batch.Need(step), Together: 1}
+	if step.GetGang() {
+		r.Together, r.MostPerWorker = int(step.GetCount()), int(step.GetMostPerWorker())
+	}
+	return r
+}
+
+// matchJob returns which workers could run the steps of a job that is not stored yet, and for each step whether workers
+// could run it and the steps that it depends on.
+func (sc *Scheduler) matchJob(queue *wire.Queue, job *wire.SubmittedJob) (steps []*matcher.Match, possible []bool) {
+	sc.updateMatcher()
+	for _, step := range job.GetSteps() {
+		match := sc.matcher.Match(requirement(queue, step))
+		ok := match.Possible()
+		for _, before := range step.GetAfter() {
+			ok = ok && possible[before]
+		}
+		steps, possible = append(steps, match), append(possible, ok)
+	}
+	return steps, possible
+}
+
+// matchesOf returns which workers could run the steps of an active job.
+func (sc *Scheduler) matchesOf(j *batch.Job) *jobMatches {
+	sc.updateMatcher()
+	m := sc.timings[j].matches
+	if m == nil {
+		m = &jobMatches{}
+	}
+	sc.updateMatches(m, j)
+	return m
+}
+
+// updateMatches brings the matches of a job up to date with the matcher.
+func (sc *Scheduler) updateMatches(m *jobMatches, j *batch.Job) {
+	if m.version == sc.matchVersion {
+		return
+	}
+	m.version, m.steps, m.possible = sc.matchVersion, m.steps[:0], m.possible[:0]
+	for _, step := range j.Steps() {
+		match := sc.matcher.Match(requirement(j.Queue(), step.Spec()))
+		ok := match.Possible()
+		for _, before := range step.Spec().GetAfter() {
+			ok = ok && (m.possible[before] || j.Steps()[before].Done())
+		}
+		m.steps, m.possible = append(m.steps, match), append(m.possible, ok)
+	}
+}
+
+// couldRun reports whether a worker could run a task of a step if it were idle.
+func (sc *Scheduler) couldRun(step *batch.Step, s *session) bool {
+	return sc.matchesOf(step.Job()).steps[step.Number()].Set().Has(s.group)
+}
+
+// possibleTasks returns how many of the waiting tasks of a step some worker could run if it were idle. The consent
+// service may have refused a step, or its tasks may have failed, on all workers that match.
+func (sc *Scheduler) possibleTasks(step *batch.Step) int {
+	return sc.possibleTasksIn(sc.matchesOf(step.Job()), step)
+}
+
+// possibleTasksIn is possibleTasks for the matches of the step's job.
+func (sc *Scheduler) possibleTasksIn(m *jobMatches, step *batch.Step) int {
+	waiting := step.Waiting()
+	if waiting == 0 {
+		return 0
+	}
+	if !m.possible[step.Number()] {
+		return 0
+	}
+	set := m.steps[step.Number()].Set()
+	if sc.isRefusedEverywhere(step, set) {
+		return 0
+	}
+	if !step.Failed() {
+		return waiting
+	}
+	if step.Spec().GetGang() {
+		if !gangHasWorkers(step, set) {
+			return 0
+		}
+		return waiting
+	}
+	for _, t := range step.Tasks() {
+		if t.Waiting() && failedEverywhere(t, set) {
+			waiting--
+		}
+	}
+	return max(0, waiting)
+}
+
+// isRefusedEverywhere reports whether the consent service has refused all workers that could run a step. Its refusals are
+// final.
+func (sc *Scheduler) isRefusedEverywhere(step *batch.Step, set *matcher.Set) bool {
+	c := sc.consents[step]
+	if c == nil || len(c.denied) < set.Workers() {
+		return false
+	}
+	return allWorkers(set, func(worker string) bool { return c.denied[worker] })
+}
+
+// failedEverywhere reports whether runs of a task have failed on all workers of a set. A task does not return to a worker
+// on which it has failed.
+func failedEverywhere(t *batch.Task, set *matcher.Set) bool {
+	return t.FailedWorkers() >= set.Workers() && allWorkers(set, t.FailedOn)
+}
+
+func allWorkers(set *matcher.Set, property func(worker string) bool) bool {
+	for _, g := range set.Groups() {
+		for _, worker := range g.Workers() {
+			if !property(worker) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// gangHasWorkers reports whether a gang fits on the workers of a set on which no member has failed, if they are idle.
+func gangHasWorkers(step *batch.Step, set *matcher.Set) bool {
+	r := requirement(step.Job().Queue(), step.Spec())
+	var copies int64
+	for _, g := range set.Groups() {
+		for _, worker := range g.Workers() {
+			if slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool { return t.FailedOn(worker) }) {
+				continue
+			}
+			if copies += matcher.CopiesOn(r, g.Capacity()); copies >= int64(r.Together) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/controld/internal/scheduler/probe.go
+++ b/controld/internal/scheduler/probe.go
@@ -126,7 +126,7 @@
 // mayProbe reports whether an isolated task may use a worker in this round.
 func (sc *Scheduler) mayProbe(r *round, task isolatedTask, s *session) bool {
 	if s.takenInRound == r.number || sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now) ||
-		!eligible(task.step, s.incarnation) {
+		!sc.couldRun(task.step, s) {
 		return false
 	}
 	if most := int(task.step.Spec().GetMostPerWorker()); most > 0 && placedOn(task.step, s) >= most {
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/matcher"
 	"flamingodrift.example/controld/internal/speedestimator"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
@@ -84,6 +85,12 @@
 	consents map[*batch.Step]*consentState
 	helpers  map[string]*helper
 	timings  map[*batch.Job]jobTiming
+	// matcher tells which of the workers that get new runs could run a step. It is for workersVersion of the batch and
+	// matchedConfig; matchVersion counts its replacements.
+	matcher        *matcher.Matcher
+	workersVersion uint64
+	matchedConfig  *wire.QueueConfig
+	matchVersion   uint64
 	// shares tells which jobs exceed the rate of their workspace.
 	shares *workspaceShares
 	// backlog sums up the waiting work for admission.
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/matcher"
 	"flamingodrift.example/core/executor"
 	"flamingodrift.example/core/logger"
 	"flamingodrift.example/core/wire"
@@ -77,6 +78,8 @@
 	reserved bool
 	// speed is shared by all incarnations of the worker.
 	speed *workerSpeed
+	// group is the group of equal workers to which the worker belongs; nil if it gets no new runs for good.
+	group *matcher.Group
 	// index is the worker's index in the round with the number round.
 	round uint64
 	index int
@@ -183,6 +186,9 @@
 		token: sc.token<<incarnationBits + sc.incarnationCount, createdAt: now, lastHeardAt: now, lastAnswerAt: now, reportedAt: now,
 		runs: map[*batch.Task]*run{},
 	}
+	if sc.matcher != nil {
+		s.group = sc.matcher.GroupOf(incarnation.Worker())
+	}
 	s.followsOther = incarnation.Restarted() || wasRemoved || sc.sessions[incarnation.Worker()] != nil
 	for t := range incarnation.Tasks() {
 		s.runs[t] = &run{
--- a/controld/internal/scheduler/shares.go
+++ b/controld/internal/scheduler/shares.go
@@ -24,8 +24,8 @@
 type admittedJob struct {
 	at     time.Duration
 	excess bool
-	class  workClass
-	cpu    int64
+	queue  *wire.Queue
+	job    *wire.SubmittedJob
 }
 
 // commitTimeout is how long after its admission a job counts as accepted without its commit being known.
--- a/controld/internal/scheduler/timing.go
+++ b/controld/internal/scheduler/timing.go
@@ -24,12 +24,17 @@
 	ended     []taskLengths
 	// work is the expected work of the job in core-milliseconds.
 	work int64
+	// matches holds which workers could run the steps.
+	matches *jobMatches
 	// started is set once this leader has placed the job's first run.
 	started bool
 }
 
 func (sc *Scheduler) newJobTiming(j *batch.Job, now time.Duration) jobTiming {
-	timing := jobTiming{acceptedAt: now, ended: make([]taskLengths, len(j.Steps()))}
+	timing := jobTiming{
+		acceptedAt: now, ended: make([]taskLengths, len(j.Steps())),
+		matches: &jobMatches{},
+	}
 	sc.estimate(&timing, j, now)
 	return timing
 }
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -21,6 +21,7 @@
 	StopInProgress       Reason = "stop_in_progress"
 	LeaseNotOver         Reason = "lease_not_over"
 	NoWorkers            Reason = "no_workers"
+	NoMatchingWorker     Reason = "no_matching_worker"
 	NotYetDecided        Reason = "not_yet_decided"
 	RecoveryRateLimited  Reason = "recovery_rate_limited"
 	WaitsForStep         Reason = "waits_for_earlier_step"
--- a/core/reason/sets.go
+++ b/core/reason/sets.go
@@ -4,8 +4,8 @@
 func Waiting() []Reason {
 	return []Reason{
 		NoCapacity, QuotaReached, ExceedsLargestWorker, ExceedsQuota, ExceedsCell, WaitsForAll, BehindOthers,
-		BehindReservation, SpreadUnsatisfied, JobHeld, StopInProgress, LeaseNotOver, NoWorkers, NotYetDecided,
-		RecoveryRateLimited, WaitsForStep, WaitsForConsent, WaitsForIsolation,
+		BehindReservation, SpreadUnsatisfied, JobHeld, StopInProgress, LeaseNotOver, NoWorkers, NoMatchingWorker,
+		NotYetDecided, RecoveryRateLimited, WaitsForStep, WaitsForConsent, WaitsForIsolation,
 	}
 }
 
