--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -3,6 +3,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -29,6 +30,8 @@
 	jobs           map[string]*Job
 	// active holds the jobs that have not ended or still have a run on a worker, in the order of acceptance.
 	active []*Job
+	// over holds the jobs that may have to leave active since the last command.
+	over []*Job
 	// accepted counts the jobs that were ever accepted.
 	accepted uint64
 	// unconfirmed holds the crashes that a later report may confirm.
@@ -58,6 +61,8 @@
 	Accepted *Job
 	// Refuted holds the crashes that no longer count, because the worker has reported again.
 	Refuted []RefutedCrash
+	// DoneLate holds the tasks without a run that are done, as a run that was given up has succeeded after all.
+	DoneLate []*Task
 }
 
 // RefutedCrash is a crash that counted against a task although the worker was only cut off.
@@ -190,8 +195,7 @@
 		return &wire.Result{Reason: reason.NotFound.String(), Detail: "no such job"}
 	}
 	if !j.Ended() {
-		j.phase = wire.JobPhase_JOB_PHASE_CANCELED
-		b.finished = append(b.finished, id)
+		b.finish(j, wire.JobPhase_JOB_PHASE_CANCELED)
 	}
 	return &wire.Result{}
 }
@@ -282,6 +286,8 @@
 		// A run that was given up and released counts only if it succeeded after all: its start order arrived late, at
 		// a later incarnation of the worker.
 		return
+	default:
+		effect.DoneLate = append(effect.DoneLate, t)
 	}
 	if end.GetCheckpoint() != "" {
 		t.step.saveCheckpoint(t, end.GetCheckpoint())
@@ -295,15 +301,14 @@
 	default:
 	}
 	if j.Ended() {
+		b.over = append(b.over, j)
 		return
 	}
 	switch {
 	case t.step.failures(t) >= max(1, int(j.queue.GetAttempts())):
-		j.phase = wire.JobPhase_JOB_PHASE_FAILED
-		b.finished = append(b.finished, j.ID())
+		b.finish(j, wire.JobPhase_JOB_PHASE_FAILED)
 	case j.allDone():
-		j.phase = wire.JobPhase_JOB_PHASE_COMPLETED
-		b.finished = append(b.finished, j.ID())
+		b.finish(j, wire.JobPhase_JOB_PHASE_COMPLETED)
 	case !j.hasBegun():
 		// The start of each run was refused, never arrived or left no result, so the job still waits for its first
 		// start.
@@ -311,6 +316,13 @@
 	}
 }
 
+// finish ends a job that has not ended.
+func (b *Batch) finish(j *Job, phase wire.JobPhase) {
+	j.phase = phase
+	b.finished = append(b.finished, j.ID())
+	b.over = append(b.over, j)
+}
+
 // recordRunTime adds the length of a successful run to the statistics of its queue, if it is known. The members of a gang
 // end together and count once.
 func (b *Batch) recordRunTime(t *Task, ranMs uint32) {
@@ -373,17 +385,23 @@
 }
 
 // compact removes ended jobs without runs from the active list and frees their steps and specs, which nothing needs any
-// more.
+// more. It looks only at the jobs that the command has ended, as thousands may wait.
 func (b *Batch) compact() {
-	b.active = slices.DeleteFunc(b.active, func(j *Job) bool {
-		over := j.Ended() && j.activeRuns == 0
-		if over {
-			j.steps, j.spec = nil, endedSpec(j.spec)
+	for _, j := range b.over {
+		index, found := slices.BinarySearchFunc(b.active, j, compareJobs)
+		if !found || !j.Ended() || j.activeRuns > 0 {
+			continue
 		}
-		return over
-	})
+		b.active = slices.Delete(b.active, index, index+1)
+		j.steps, j.spec = nil, endedSpec(j.spec)
+	}
+	clear(b.over)
+	b.over = b.over[:0]
 }
 
+// compareJobs orders jobs by acceptance.
+func compareJobs(a, b *Job) int { return cmp.Compare(a.order, b.order) }
+
 // endedSpec returns the part of a job's spec that is kept once the job has ended.
 func endedSpec(spec *wire.SubmittedJob) *wire.SubmittedJob {
 	return &wire.SubmittedJob{Id: spec.GetId(), Queue: spec.GetQueue(), Workspace: spec.GetWorkspace()}
--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -309,7 +310,8 @@
 }
 
 // TestRandomCommands checks these invariants under random commands: runs never exceed the capacity of a worker, a task
-// has at most one run, run numbers never decrease, and a node that restores a snapshot at any point has the same state.
+// has at most one run, run numbers never decrease, a job is active until it has ended and has no run, and a node that
+// restores a snapshot at any point has the same state.
 func TestRandomCommands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := newTestBatch(&wire.JobStep{Count: 3, CpuMillis: 3000},
@@ -325,6 +327,8 @@
 					require.Same(t, inc, task.Incarnation())
 				}
 			}
+			j := b.Job(jobID)
+			require.Equal(t, !j.Ended() || j.ActiveRuns() > 0, slices.Contains(b.Active(), j))
 			for _, step := range b.Job(jobID).Steps() {
 				for _, task := range step.Tasks() {
 					require.GreaterOrEqual(t, task.Run(), runs[task])
--- a/controld/internal/batch/crash.go
+++ b/controld/internal/batch/crash.go
@@ -175,8 +175,7 @@
 		return
 	}
 	j.givenUp = &GivenUpTask{step: t.step.number, index: t.index, crashes: t.Crashes()}
-	j.phase = wire.JobPhase_JOB_PHASE_FAILED
-	b.finished = append(b.finished, j.ID())
+	b.finish(j, wire.JobPhase_JOB_PHASE_FAILED)
 }
 
 // unconfirmedCrash is a crash of which it is not known yet whether the worker has ended.
--- a/controld/internal/explainer/queues.go
+++ b/controld/internal/explainer/queues.go
@@ -18,6 +18,8 @@
 	Wait(step *batch.Step, now time.Duration) scheduler.Wait
 	// KnownFor returns how long this leader has known a job; the job may be older.
 	KnownFor(j *batch.Job, now time.Duration) time.Duration
+	// Impossible returns how many active jobs wait for workers that the cell does not have.
+	Impossible() int
 	RunState(t *batch.Task, now time.Duration) scheduler.RunState
 	WorkerState(incarnation *batch.Incarnation, now time.Duration) scheduler.WorkerState
 }
@@ -161,6 +163,11 @@
 	if len(e.queueWorkersInState(scheduler.WorkerReady)) == 0 && len(e.Cell.Batch().Active()) > 0 {
 		problems = append(problems, "No worker takes new runs, and submitted jobs have not ended.")
 	}
+	if count := e.Scheduler.Impossible(); count > 0 {
+		problems = append(problems, fmt.Sprintf(
+			"%s for workers that the cell does not have; flamingoctl waiting says what each of them lacks.",
+			countPhrase(count, "submitted job waits", "submitted jobs wait")))
+	}
 	if silent := e.queueWorkersInState(scheduler.WorkerSilent); len(silent) > 0 {
 		problems = append(problems, fmt.Sprintf("%s: %s.",
 			countPhrase(len(silent), "worker does not answer", "workers do not answer"), joinNames(silent)))
--- a/controld/internal/explainer/queues_test.go
+++ b/controld/internal/explainer/queues_test.go
@@ -14,10 +14,13 @@
 
 // fakeScheduler is a Scheduler that has known each job for three seconds and each run for one second.
 type fakeScheduler struct {
-	wait    scheduler.Wait
-	workers scheduler.WorkerState
+	wait       scheduler.Wait
+	workers    scheduler.WorkerState
+	impossible int
 }
 
+func (f fakeScheduler) Impossible() int { return f.impossible }
+
 func (f fakeScheduler) Wait(step *batch.Step, _ time.Duration) scheduler.Wait {
 	if !step.Ready() {
 		return scheduler.Wait{Reason: reason.WaitsForStep}
@@ -138,7 +141,9 @@
 	require.Equal(t, "w-1", hosts[len(hosts)-1].Name)
 	require.Contains(t, e.Status().Sentences,
 		"Submitted jobs: 1 wait, 1 have begun; 1 task is on workers. 1 of 1 worker takes new runs.")
-	e.Scheduler = fakeScheduler{workers: scheduler.WorkerSilent}
+	e.Scheduler = fakeScheduler{workers: scheduler.WorkerSilent, impossible: 2}
 	require.Contains(t, e.Status().Problems, "1 worker does not answer: w-1.")
 	require.Contains(t, e.Status().Problems, "No worker takes new runs, and submitted jobs have not ended.")
+	require.Contains(t, e.Status().Problems,
+		"2 submitted jobs wait for workers that the cell does not have; flamingoctl waiting says what each of them lacks.")
 }
--- a/controld/internal/scheduler/backlog.go
+++ b/controld/internal/scheduler/backlog.go
@@ -167,7 +167,7 @@
 func (sc *Scheduler) countJobs(forecasts bool, now time.Duration) {
 	b := sc.backlog
 	sums := map[stepClass]*waitingWork{}
-	for _, j := range sc.batch.Active() {
+	for _, j := range sc.jobs.runnable {
 		timing := sc.timings[j]
 		sc.updateMatches(timing.matches, j)
 		for number, step := range j.Steps() {
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -40,15 +40,6 @@
 	return s.ratio
 }
 
-// eligible reports whether a worker's pool and labels match a step.
-func eligible(step *batch.Step, incarnation *batch.Incarnation) bool {
-	if incarnation.Report().GetPool() != step.Job().Queue().GetPool() {
-		return false
-	}
-	need := step.Spec().GetLabel()
-	return need == "" || slices.Contains(incarnation.Report().GetLabels(), need)
-}
-
 // The minimum time until the next round grows with each step that the last round considered and with each gang that it
 // planned. It leaves the control goroutine time for other work.
 const (
@@ -260,18 +251,22 @@
 	}
 }
 
-// waitingSteps returns the steps with tasks to place, most urgent first. When there are more than a round considers,
-// each priority gets a minimum number of places, so that the backlog of one priority does not block the others. Excess
-// steps get the places that are left.
+// waitingSteps returns the steps with tasks to place that some worker could run, most urgent first. When there are more
+// than a round considers, each priority gets a minimum number of places, so that the backlog of one priority does not
+// block the others. Steps that few workers could run, none of which has room, get a bounded number of places: they have
+// to be planned and to seek consent, but must not keep steps from workers that have room. Excess steps get the places
+// that are left.
 func (sc *Scheduler) waitingSteps(r *round) []waitingStep {
 	now := r.now
+	sc.updateRunnable()
 	var waiting []waitingStep
-	for _, j := range sc.batch.Active() {
+	for _, j := range sc.jobs.runnable {
 		if j.Ended() {
 			continue
 		}
+		matches := sc.matchesOf(j)
 		for _, step := range j.Steps() {
-			if step.Waiting() == 0 || !step.Ready() || !r.allows(step) {
+			if step.Waiting() == 0 || !step.Ready() || !r.allows(step) || sc.possibleTasksIn(matches, step) == 0 {
 				continue
 			}
 			if tasks := sc.placeableTasks(step, now); len(tasks) > 0 {
@@ -285,30 +280,58 @@
 	if len(waiting) <= maxDemandsPerRound {
 		return waiting
 	}
-	priority := func(w waitingStep) uint32 { return w.step.Job().Queue().GetPriority() }
-	slices.SortStableFunc(waiting, func(a, b waitingStep) int {
-		return cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(priority(a), priority(b)),
-			cmp.Compare(a.rank, b.rank), cmp.Compare(a.startBy, b.startBy))
-	})
+	slices.SortStableFunc(waiting, func(a, b waitingStep) int { return sc.compareWaiting(&a, &b) })
+	waiting = sc.chooseForRound(waiting, now)
+	for _, w := range waiting[:maxDemandsPerRound] {
+		*sc.consideredAt(w.step) = now
+	}
+	return waiting
+}
+
+// compareWaiting orders waiting steps by urgency. Overdue steps take turns: something that no rule here knows may bar the
+// oldest, and they would keep their places for good.
+func (sc *Scheduler) compareWaiting(a, b *waitingStep) int {
+	order := cmp.Or(cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.priority(), b.priority()),
+		cmp.Compare(a.rank, b.rank))
+	if order == 0 && a.lateness == allocator.Overdue {
+		order = cmp.Compare(*sc.consideredAt(a.step), *sc.consideredAt(b.step))
+	}
+	return cmp.Or(order, cmp.Compare(a.startBy, b.startBy))
+}
+
+func (w *waitingStep) priority() uint32 { return w.step.Job().Queue().GetPriority() }
+
+// consideredAt returns when a step was last chosen for a round in which not all waiting steps had a place.
+func (sc *Scheduler) consideredAt(step *batch.Step) *time.Duration {
+	return &sc.timings[step.Job()].matches.consideredAt[step.Number()]
+}
+
+// chooseForRound puts the steps that the round considers first.
+func (sc *Scheduler) chooseForRound(waiting []waitingStep, now time.Duration) []waitingStep {
+	room := sc.newRoomFinder(now)
 	byPriority := map[uint32]int{}
-	var first, rest, excess []waitingStep
+	var first, rest, excess, blocked []waitingStep
 	for _, w := range waiting {
-		if w.excess {
+		set := sc.matchesOf(w.step.Job()).steps[w.step.Number()].Set()
+		switch {
+		case !set.IsPool() && !room.hasRoom(set, w.step.Need()):
+			blocked = append(blocked, w)
+		case w.excess:
 			excess = append(excess, w)
-			continue
-		}
-		if byPriority[priority(w)]++; byPriority[priority(w)] <= maxDemandsPerRound/demandShareDivisor {
+		case byPriority[w.priority()] < minPlaces:
+			byPriority[w.priority()]++
 			first = append(first, w)
-		} else {
+		default:
 			rest = append(rest, w)
 		}
 	}
-	return slices.Concat(first, rest, excess)
+	places := min(len(blocked), minPlaces)
+	return slices.Concat(blocked[:places], first, rest, excess, blocked[places:])
 }
 
-// demandShareDivisor sets the minimum number of places of each priority in a round:
-// maxDemandsPerRound/demandShareDivisor.
-const demandShareDivisor = 4
+// minPlaces is the minimum number of places in a round of each priority, and of the steps that only workers without room
+// could run.
+const minPlaces = maxDemandsPerRound / 4
 
 // placeableTasks returns the tasks of a step that may be placed; for a gang, all or none.
 func (sc *Scheduler) placeableTasks(step *batch.Step, now time.Duration) []*batch.Task {
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -66,8 +66,17 @@
 		sc.probePool, sc.aloneSince = nil, nil
 		return rest
 	}
+	if len(isolated) > maxDemandsPerRound {
+		// They take turns, as those with the fewest crashes may need workers that have no room for long.
+		slices.SortStableFunc(isolated, func(a, b isolatedTask) int {
+			return cmp.Compare(*sc.consideredAt(a.step), *sc.consideredAt(b.step))
+		})
+		isolated = isolated[:maxDemandsPerRound]
+		for _, task := range isolated {
+			*sc.consideredAt(task.step) = r.now
+		}
+	}
 	slices.SortStableFunc(isolated, func(a, b isolatedTask) int { return cmp.Compare(a.crashes, b.crashes) })
-	isolated = isolated[:min(len(isolated), maxDemandsPerRound)]
 	sessions := sc.probeSessions(r.now)
 	sc.updateProbePool(isolated, sessions, r)
 	apartLeft, callsLeft := sc.apartStartsLeft(r), sc.isolatedCallsLeft(isolated)
--- a/controld/internal/scheduler/matching.go
+++ b/controld/internal/scheduler/matching.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/matcher"
@@ -15,9 +16,12 @@
 	steps   []*matcher.Match
 	// possible says for each step whether workers could run it and the steps that it depends on.
 	possible []bool
+	// consideredAt holds when each step was last chosen for a round in which not all waiting steps had a place.
+	consideredAt []time.Duration
 }
 
-// updateMatcher replaces the matcher when workers have come, gone or changed, or queues may have another pool.
+// updateMatcher replaces the matcher when workers have come, gone or changed, or queues may have another pool. All jobs
+// without a possible step are examined again in the next round.
 func (sc *Scheduler) updateMatcher() {
 	version, config := sc.batch.WorkersVersion(), sc.batch.Config()
 	if sc.matcher != nil && sc.workersVersion == version && sc.matchedConfig == config {
@@ -40,6 +44,7 @@
 	for _, s := range sc.sessions {
 		s.group = sc.matcher.GroupOf(s.incarnation.Worker())
 	}
+	sc.examineImpossibleJobs()
 }
 
 // requirement returns what a step of a job in a queue requires of workers.
--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
 
@@ -110,11 +113,179 @@
 					h.commit(&wire.QueueCommand{Cancel: fmt.Sprintf("f%015x", i)})
 				}
 				h.advance(0)
+				require.Zero(t, h.Impossible())
+				require.Empty(t, h.jobs.impossible)
 			})
 		}
 	}
 }
 
+// TestImpossibleStepsTakeNoPlace guards against steps that no worker can run taking all places of each round (review/9,
+// LOST): overdue tasks behind them were never placed beside idle workers.
+func TestImpossibleStepsTakeNoPlace(t *testing.T) {
+	for _, kind := range impossibleKinds {
+		t.Run(kind, func(t *testing.T) {
+			h := newLabeledHarness(t, 4, false)
+			for i := range 2 * maxDemandsPerRound {
+				h.submitJob(fmt.Sprintf("f%015x", i), "q", impossibleSteps(kind)...)
+			}
+			h.now += time.Second
+			job := h.submitJob(testJobID, "q", oneTaskStep())
+			h.now += time.Minute
+			require.Equal(t, allocator.Overdue, func() allocator.Lateness {
+				_, lateness := h.startBy(job.Steps()[0], h.now)
+				return lateness
+			}())
+			r := &round{now: h.now, number: 1}
+			h.addDemands(r)
+			require.True(t, slices.Contains(r.steps, job.Steps()[0]), "it has no place in the round")
+			require.Len(t, r.steps, 1)
+			require.Equal(t, 2*maxDemandsPerRound, h.Impossible())
+		})
+	}
+}
+
+// TestStepsOfFullWorkersLeavePlaces guards against steps that only workers without room can run taking all places of a
+// round, whatever their lateness: other steps waited beside idle workers.
+func TestStepsOfFullWorkersLeavePlaces(t *testing.T) {
+	tests := []struct {
+		name string
+		step *wire.JobStep
+		wait time.Duration
+	}{
+		{"in time", &wire.JobStep{Count: 1, CpuMillis: 4000, EstimateMs: 10000, Label: "b"}, 0},
+		{"late", &wire.JobStep{Count: 1, CpuMillis: 4000, EstimateMs: 1000, Label: "b"}, 3 * time.Second},
+		{"overdue", &wire.JobStep{Count: 1, CpuMillis: 4000, EstimateMs: 1000, Label: "b"}, time.Minute},
+		{"gangs", &wire.JobStep{Count: 2, CpuMillis: 3000, EstimateMs: 10000, Label: "b", Gang: true}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newLabeledHarness(t, 4, false)
+			h.submitJob("00000000000000bb", "q", &wire.JobStep{Count: 1, CpuMillis: 8000, EstimateMs: 1000, Label: "b"})
+			h.advance(0)
+			require.Len(t, h.work.Starts, 1, "the only worker with the label is full")
+			for i := range 2 * maxDemandsPerRound {
+				h.submitJob(fmt.Sprintf("f%015x", i), "q", test.step)
+			}
+			h.now += 100 * time.Millisecond
+			job := h.submitJob(testJobID, "q", &wire.JobStep{Count: 1, CpuMillis: 7000, EstimateMs: test.step.GetEstimateMs()})
+			r := &round{now: h.now + test.wait, number: 1}
+			h.addDemands(r)
+			require.True(t, slices.Contains(r.steps, job.Steps()[0]), "it has no place in the round")
+			require.Len(t, r.demands, maxDemandsPerRound, "the others have the places that are left")
+		})
+	}
+}
+
+// TestOverdueStepsTakeTurns guards against overdue steps that a rule of the allocator bars keeping younger ones from
+// being looked at.
+func TestOverdueStepsTakeTurns(t *testing.T) {
+	h := newLabeledHarness(t, 4, false)
+	h.alloc = allocator.New(allocator.Config{Headroom: 0.12, StopTime: 400 * time.Millisecond, MaxReservingGangs: 1})
+	for i := range 4 {
+		h.submitJob(fmt.Sprintf("e%015x", i), "q", &wire.JobStep{Count: 1, CpuMillis: 500, EstimateMs: 60000})
+		h.advance(10 * time.Millisecond)
+	}
+	require.Len(t, h.work.Starts, 4)
+	h.work.Starts = nil
+	// Beside the headroom, they fit on no worker that runs anything.
+	for i := range 3 * maxDemandsPerRound {
+		h.submitJob(fmt.Sprintf("f%015x", i), "later", &wire.JobStep{Count: 1, CpuMillis: 7200, EstimateMs: 100})
+	}
+	h.now += 100 * time.Millisecond
+	job := h.submitJob(testJobID, "later", &wire.JobStep{Count: 1, CpuMillis: 6900, EstimateMs: 200})
+	h.now += 2 * time.Minute
+	for _, s := range h.sessions {
+		s.lastAnswerAt = h.now
+	}
+	for range 6 {
+		if placements := h.decide(h.now); len(placements) > 0 {
+			require.Equal(t, job.ID(), placements[0].GetJob())
+			return
+		}
+		h.now += decideInterval
+	}
+	require.Fail(t, "a step that fits was not looked at in six rounds")
+}
+
+// TestWaitNamesWhatIsMissing guards against a wait whose reason does not say what would end it, and against a new leader
+// that takes the few workers it has heard of for all.
+func TestWaitNamesWhatIsMissing(t *testing.T) {
+	tests := []struct {
+		name   string
+		step   *wire.JobStep
+		want   reason.Reason
+		detail string
+	}{
+		{"label", &wire.JobStep{Count: 1, CpuMillis: 1000, Label: "c"}, reason.NoMatchingWorker, "No worker of pool p has the label c."},
+		{
+			"size among the workers with the label", &wire.JobStep{Count: 1, CpuMillis: 9000, MemoryMb: 10, Label: "b"},
+			reason.ExceedsLargestWorker,
+			"Each task needs 9.0 processors and 10 MB; any worker with the label b has at most 8.0 processors and 8000 MB.",
+		},
+		{
+			"all at once", &wire.JobStep{Count: 3, CpuMillis: 4000, Label: "b", Gang: true}, reason.ExceedsCell,
+			"All 3 tasks must start at once; all workers that could run them have room for 2.",
+		},
+		{
+			"all at once, apart", &wire.JobStep{Count: 5, CpuMillis: 10, Gang: true, MostPerWorker: 1}, reason.ExceedsCell,
+			"All 5 tasks must start at once; all workers that could run them have room for 4.",
+		},
+		{"nothing", &wire.JobStep{Count: 1, CpuMillis: 8000, Label: "b"}, reason.NoWorkers, "No worker that could run it (1) takes new runs now."},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newLabeledHarness(t, 4, false)
+			step := h.submitJob(testJobID, "q", test.step).Steps()[0]
+			h.startTerm(9)
+			h.advance(0)
+			for _, o := range h.work.Renewals {
+				if o.Incarnation.Worker() == "w000" {
+					h.work.Renewals = []RenewOrder{o}
+					break
+				}
+			}
+			h.answerRenewals(nil, nil)
+			require.Equal(t, WorkerReady, h.WorkerState(h.batch.Incarnation("w000"), h.now))
+			w := h.Wait(step, h.now)
+			require.Equal(t, test.want, w.Reason)
+			require.Equal(t, test.detail, w.Detail)
+		})
+	}
+}
+
+// TestFailedEverywhereHoldsUpNothing guards against a task that has failed on all workers that could run it counting as
+// work ahead of others.
+func TestFailedEverywhereHoldsUpNothing(t *testing.T) {
+	h := newLabeledHarness(t, 4, false)
+	h.submitJob(testJobID, "q", &wire.JobStep{Count: 1, CpuMillis: 8000, EstimateMs: 60000, Label: "b"})
+	h.advance(0)
+	o := h.takeStart()
+	h.commit(&wire.QueueCommand{Ends: []*wire.RunEnd{{
+		Job: testJobID, Run: 1, Outcome: wire.RunOutcome_RUN_OUTCOME_FAILED,
+	}}})
+	require.Equal(t, "w003", o.Incarnation.Worker())
+	h.advance(time.Minute)
+	require.Equal(t, 1, h.Impossible())
+	w := h.Wait(h.batch.Job(testJobID).Steps()[0], h.now)
+	require.Equal(t, reason.NoMatchingWorker, w.Reason)
+	require.Equal(t, "It has failed on each worker that could run it (1).", w.Detail)
+	require.Zero(t, h.countBacklog(0, h.now).coreMsAhead(h.batch.Queue("q")).sum())
+	require.Equal(t, 0, h.Pending("q", h.now), "it has begun")
+}
+
+// TestPendingCountsImpossibleJobs guards against a number of pending jobs without those that no worker can run: they were
+// accepted and have not begun.
+func TestPendingCountsImpossibleJobs(t *testing.T) {
+	h := newLabeledHarness(t, 4, false)
+	for i := range 5 {
+		h.submitJob(fmt.Sprintf("f%015x", i), "q", impossibleSteps(noLabel)...)
+	}
+	h.advance(0)
+	require.Equal(t, 5, h.Impossible())
+	require.Equal(t, 5, h.Pending("q", h.now))
+}
+
 // TestWaitOfFewWorkers guards against one wait for all jobs of a queue: work for a part of the workers delays the jobs
 // that need them, and the others only as far as they have to share them.
 func TestWaitOfFewWorkers(t *testing.T) {
@@ -168,4 +339,50 @@
 	c.pending, c.denied = map[string]bool{}, map[string]bool{"w100": true}
 	h.changed = true
 	h.advance(time.Second)
+	require.Equal(t, 1, h.Impossible(), "the service has refused all workers that fit")
+	require.Equal(t, reason.WaitsForConsent, h.Wait(h.batch.Job(testJobID).Steps()[0], h.now).Reason)
+}
+
+// TestCostOfImpossibleWork guards against rounds and admission that look at each job that no worker can run.
+func TestCostOfImpossibleWork(t *testing.T) {
+	h := newLabeledHarness(t, 50, false)
+	for i := range 3000 {
+		step := impossibleSteps(impossibleKinds[i%len(impossibleKinds)])[0]
+		step.CpuMillis += int64(i)
+		h.submitJob(fmt.Sprintf("f%015x", i), "q", step)
+	}
+	h.advance(0)
+	require.Equal(t, 3000, h.Impossible())
+	require.Empty(t, h.jobs.runnable)
+	require.Empty(t, h.countBacklog(0, h.now).work)
+	allocations := testing.AllocsPerRun(10, func() { h.waitingSteps(&round{now: h.now}) })
+	require.LessOrEqual(t, allocations, 2.0)
+}
+
+// BenchmarkImpossibleWork measures a round with one new job, its admission, and its cancelling, beside jobs that no worker
+// can run.
+func BenchmarkImpossibleWork(b *testing.B) {
+	for _, workers := range []int{50, 640} {
+		for _, impossible := range []int{0, 100, 5000} {
+			b.Run(fmt.Sprintf("workers=%d/impossible=%d", workers, impossible), func(b *testing.B) {
+				h := newLabeledHarness(&testing.T{}, workers, false)
+				for i := range impossible {
+					h.submitJob(fmt.Sprintf("f%015x", i), "q", impossibleSteps(noLabel)...)
+				}
+				h.advance(0)
+				// Full workers let the rounds end without placements, so that each of them costs the same.
+				h.submitJob("00000000000000bb", "q", &wire.JobStep{Count: uint32(workers), CpuMillis: 8000, EstimateMs: 60000})
+				h.advance(time.Millisecond)
+				b.ResetTimer()
+				for i := range b.N {
+					job := &wire.SubmittedJob{Id: fmt.Sprintf("%016x", i), Queue: "q", Steps: []*wire.JobStep{oneTaskStep()}}
+					h.backlog.valid = false
+					h.Admit(h.batch.Queue("q"), job, h.now)
+					h.commit(&wire.QueueCommand{Submit: job})
+					h.decide(h.now)
+					h.commit(&wire.QueueCommand{Cancel: job.GetId()})
+				}
+			})
+		}
+	}
 }
--- a/controld/internal/scheduler/order.go
+++ b/controld/internal/scheduler/order.go
@@ -157,7 +157,7 @@
 // stopUnneededRuns stops the runs of ended jobs, the remaining runs of gangs that lost a member, and runs with
 // checkpoints that would not finish before their draining worker shuts down.
 func (sc *Scheduler) stopUnneededRuns(now time.Duration) {
-	for _, j := range sc.batch.Active() {
+	for _, j := range sc.jobs.runnable {
 		if j.ActiveRuns() == 0 {
 			continue
 		}
--- a/controld/internal/scheduler/pending.go
+++ b/controld/internal/scheduler/pending.go
@@ -15,7 +15,7 @@
 // reached no worker for certain.
 func (sc *Scheduler) Pending(queue string, now time.Duration) int {
 	count := sc.batch.Pending(queue)
-	for _, j := range sc.batch.Active() {
+	for _, j := range sc.jobs.runnable {
 		if j.Queue().GetName() == queue && j.Phase() == wire.JobPhase_JOB_PHASE_RUNNING && !sc.hasStarted(j, now) {
 			count++
 		}
--- a/controld/internal/scheduler/probe.go
+++ b/controld/internal/scheduler/probe.go
@@ -85,13 +85,13 @@
 	}
 	wanted = min(wanted, max(1, int(maxPoolShare*float64(r.usable))))
 	sc.probePool = slices.DeleteFunc(sc.probePool, func(s *session) bool {
-		return sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now)
+		return sc.currentSession(s.incarnation) != s || !sc.usable(s, r.now) || !sc.isWantedAlone(isolated, s, r.now)
 	})
 	for _, s := range sessions {
 		if len(sc.probePool) >= wanted {
 			break
 		}
-		if !slices.Contains(sc.probePool, s) {
+		if !slices.Contains(sc.probePool, s) && sc.isWantedAlone(isolated, s, r.now) {
 			sc.probePool = append(sc.probePool, s)
 		}
 	}
@@ -101,6 +101,13 @@
 	}
 }
 
+// isWantedAlone reports whether a worker could run one of the tasks that wait to run alone.
+func (sc *Scheduler) isWantedAlone(isolated []isolatedTask, s *session, now time.Duration) bool {
+	return slices.ContainsFunc(isolated, func(task isolatedTask) bool {
+		return task.level == runsAlone && !sc.isDeferred(task, now) && sc.couldRun(task.step, s)
+	})
+}
+
 // onlyIsolatedRuns reports whether all runs on a worker are those of isolated tasks.
 func onlyIsolatedRuns(s *session) bool {
 	for t := range s.runs {
--- a/controld/internal/scheduler/runtimes.go
+++ b/controld/internal/scheduler/runtimes.go
@@ -210,7 +210,7 @@
 	}
 	sc.nextTimings = now + timingInterval
 	sc.backlog.valid = false
-	for _, j := range sc.batch.Active() {
+	for _, j := range sc.jobs.runnable {
 		sc.updateTiming(j, now)
 	}
 }
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -91,6 +91,9 @@
 	workersVersion uint64
 	matchedConfig  *wire.QueueConfig
 	matchVersion   uint64
+	jobs           jobIndex
+	// loggedImpossible is the number of impossible jobs that was logged last.
+	loggedImpossible int
 	// shares tells which jobs exceed the rate of their workspace.
 	shares *workspaceShares
 	// backlog sums up the waiting work for admission.
@@ -209,9 +212,10 @@
 		shares: newWorkspaceShares(now), backlog: newBacklog(),
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
 		meanWork: map[string]float64{}, speedEstimator: speedestimator.New(),
-		changed: true,
+		changed: true, jobs: jobIndex{impossible: map[*batch.Job]bool{}},
 	}
 	for _, j := range b.Active() {
+		sc.jobs.add(j)
 		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
 	}
@@ -231,6 +235,7 @@
 // Applied updates the scheduler with the effect of an applied command.
 func (sc *Scheduler) Applied(effect batch.Effect, now time.Duration) {
 	if j := effect.Accepted; j != nil {
+		sc.jobs.add(j)
 		sc.timings[j] = sc.newJobTiming(j, now)
 		sc.updateMeanWork(j)
 		sc.shares.applied(j)
@@ -242,6 +247,9 @@
 			sc.updateTiming(end.Task.Step().Job(), now)
 		}
 	}
+	for _, t := range effect.DoneLate {
+		sc.examineJob(t.Step().Job())
+	}
 	for _, refuted := range effect.Refuted {
 		sc.logRefuted(refuted)
 	}
@@ -252,6 +260,7 @@
 	for _, id := range sc.batch.TakeFinished() {
 		sc.ended = append(sc.ended, endedJob{id, now})
 		if j := sc.batch.Job(id); j != nil {
+			sc.removeEndedJob(j)
 			sc.logGivenUp(j)
 			sc.logEnded(j, now)
 		}
--- a/controld/internal/scheduler/scheduler_test.go
+++ b/controld/internal/scheduler/scheduler_test.go
@@ -553,7 +553,7 @@
 			queue = "later"
 		}
 		h.commit(&wire.QueueCommand{Submit: &wire.SubmittedJob{
-			Id: fmt.Sprintf("%016x", i), Queue: queue, Steps: []*wire.JobStep{{Count: 1, CpuMillis: 20000, EstimateMs: 1000}},
+			Id: fmt.Sprintf("%016x", i), Queue: queue, Steps: []*wire.JobStep{{Count: 1, CpuMillis: 8000, EstimateMs: 1000}},
 		}})
 	}
 	r := &round{now: h.now, number: 1}
--- a/controld/internal/scheduler/timing.go
+++ b/controld/internal/scheduler/timing.go
@@ -33,7 +33,7 @@
 func (sc *Scheduler) newJobTiming(j *batch.Job, now time.Duration) jobTiming {
 	timing := jobTiming{
 		acceptedAt: now, ended: make([]taskLengths, len(j.Steps())),
-		matches: &jobMatches{},
+		matches: &jobMatches{consideredAt: slices.Repeat([]time.Duration{now}, len(j.Steps()))},
 	}
 	sc.estimate(&timing, j, now)
 	return timing
@@ -115,7 +115,11 @@
 	}
 }
 
+// updateMeanWork adds a new job to the mean work of its queue. A job that no worker can run does not compete with others.
 func (sc *Scheduler) updateMeanWork(j *batch.Job) {
+	if !sc.isPossible(j) {
+		return
+	}
 	queue := j.Queue().GetName()
 	size := float64(sc.timings[j].work)
 	if mean, ok := sc.meanWork[queue]; ok {
--- a/controld/internal/scheduler/wait.go
+++ b/controld/internal/scheduler/wait.go
@@ -40,8 +40,11 @@
 	case step.Spec().GetGang() && step.ActiveRuns() > 0:
 		return reason.StopInProgress, ""
 	}
-	if why := sc.missingWorker(step, now); why != reason.None {
-		return why, ""
+	if why, detail := sc.missingWorkersOf(step); why != reason.None {
+		return why, detail
+	}
+	if detail := sc.missingUsableWorker(step, now); detail != "" {
+		return reason.NoWorkers, detail
 	}
 	if len(sc.placeableTasks(step, now)) == 0 {
 		return reason.LeaseNotOver, ""
@@ -69,11 +72,8 @@
 		if planned.StartIn == 0 {
 			return reason.WaitsForConsent, "There is room for it; the service is asked again, as its earlier consent has run out."
 		}
-		workers := "1 worker"
-		if len(planned.Shares) > 1 {
-			workers = fmt.Sprintf("%d workers", len(planned.Shares))
-		}
-		detail = fmt.Sprintf("By what runs now there should be room on %s in %.1f s.", workers, planned.StartIn.Seconds())
+		detail = fmt.Sprintf("By what runs now there should be room on %s in %.1f s.",
+			workerCount(max(1, len(planned.Shares))), planned.StartIn.Seconds())
 		if len(sc.reservations[step]) > 0 {
 			detail += " That room is kept for it."
 		}
@@ -88,22 +88,35 @@
 	})
 }
 
-// missingWorker returns why no worker could run a step even if idle, or reason.None if one could.
-func (sc *Scheduler) missingWorker(step *batch.Step, now time.Duration) reason.Reason {
-	found := false
-	for _, s := range sc.sessions {
-		if !sc.usable(s, now) || !eligible(step, s.incarnation) {
-			continue
-		}
-		found = true
-		if step.Need().FitsIn(s.incarnation.Capacity()) {
-			return reason.None
-		}
+// missingWorkersOf returns why no workers could run a step even if idle, with a sentence that names what is missing, or
+// reason.None if some could. It considers all workers that the log holds, as a new leader has heard of few.
+func (sc *Scheduler) missingWorkersOf(step *batch.Step) (why reason.Reason, detail string) {
+	match := sc.matchesOf(step.Job()).steps[step.Number()]
+	if why, detail = match.Missing(); why != reason.None || !step.Failed() || sc.possibleTasks(step) > 0 ||
+		sc.isRefusedEverywhere(step, match.Set()) {
+		return why, detail
+	}
+	return reason.NoMatchingWorker, fmt.Sprintf("It has failed on each worker that could run it (%d).", match.Set().Workers())
+}
+
+// missingUsableWorker returns a sentence if none of the workers that could run a step gets new runs now, and an empty
+// string otherwise.
+func (sc *Scheduler) missingUsableWorker(step *batch.Step, now time.Duration) string {
+	set := sc.matchesOf(step.Job()).steps[step.Number()].Set()
+	if !allWorkers(set, func(worker string) bool {
+		s := sc.sessions[worker]
+		return s == nil || !sc.usable(s, now)
+	}) {
+		return ""
 	}
-	if found {
-		return reason.ExceedsLargestWorker
+	return fmt.Sprintf("No worker that could run it (%d) takes new runs now.", set.Workers())
+}
+
+func workerCount(n int) string {
+	if n == 1 {
+		return "1 worker"
 	}
-	return reason.NoWorkers
+	return fmt.Sprintf("%d workers", n)
 }
 
 // missingConsent returns reason.WaitsForConsent, with a summary of the consent service's decisions, if the granted
--- a/core/logger/events.go
+++ b/core/logger/events.go
@@ -65,6 +65,8 @@
 	TaskGivenUp        = define(2420, slog.LevelWarn, "workers crashed under the task; it is given up and its job fails")
 	QueuesConfigured   = define(2421, slog.LevelInfo, "queue configuration committed")
 	ConfigRejected     = define(2422, slog.LevelWarn, "queue configuration rejected")
+	JobsImpossible     = define(2423, slog.LevelWarn, "no worker can run these waiting jobs; they wait for workers that join or change")
+	JobsPossible       = define(2424, slog.LevelInfo, "jobs that no worker could run have found workers or ended")
 	EntryLost          = define(2301, slog.LevelWarn, "entry process lease ran out; its targets get new owners")
 )
 
