Workers: a report with other labels, rack or pool is recorded

A worker that changed its labels, its rack or its pool within one incarnation kept the old ones in the log until its capacity or its address changed too: work that had become possible went on waiting, and work for the former label still went there. The comparison that decides whether a report must be committed named each field, and these three were missing.

Found by reading for the moments at which work becomes possible or impossible. TestWorkersMakeWorkPossible goes through them: workers that join, leave, grow, shrink, drain, move to another pool or change labels, each also at a new leader. Before, its cases "gets the label", "loses the label" and "moves to another pool" failed: the report needed no commit.

--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -208,6 +208,65 @@
 	require.Fail(t, "a step that fits was not looked at in six rounds")
 }
 
+// TestWorkersMakeWorkPossible guards the moments at which work becomes possible or impossible: a step that no worker can
+// run has no place in a round, and gets one as soon as a worker that can run it is known.
+func TestWorkersMakeWorkPossible(t *testing.T) {
+	life := func(cpu int64, sequence uint64, labels ...string) *wire.WorkerLife {
+		report := workerLife("w1", 1)
+		report.CpuMillis, report.Sequence, report.Labels = cpu, sequence, labels
+		return report
+	}
+	draining := life(8000, 2, "c")
+	draining.Draining = true
+	otherPool := life(8000, 2, "c")
+	otherPool.Pool = "other"
+	tests := []struct {
+		name          string
+		before, after *wire.WorkerLife
+		possible      bool
+	}{
+		{"a worker with the label joins", nil, life(8000, 1, "c"), true},
+		{"a worker gets the label", life(8000, 1, "a"), life(8000, 2, "c", "a"), true},
+		{"a worker grows", life(3000, 1, "c"), life(8000, 2, "c"), true},
+		{"a worker loses the label", life(8000, 1, "c"), life(8000, 2, "a"), false},
+		{"a worker shrinks", life(8000, 1, "c"), life(3000, 2, "c"), false},
+		{"a worker drains", life(8000, 1, "c"), draining, false},
+		{"a worker moves to another pool", life(8000, 1, "c"), otherPool, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			if test.before != nil {
+				h.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{test.before}})
+			}
+			step := h.submitJob(testJobID, "q", &wire.JobStep{Count: 1, CpuMillis: 4000, Label: "c"}).Steps()[0]
+			waiting := func() int { return len(h.waitingSteps(&round{now: h.now})) }
+			change := func(possible bool) {
+				impossible := 1
+				if possible {
+					impossible = 0
+				}
+				require.Equal(t, 1-impossible, waiting())
+				require.Equal(t, impossible, h.Impossible())
+				why, detail := h.missingWorkersOf(step)
+				require.Equal(t, possible, why == reason.None)
+				require.Equal(t, possible, detail == "")
+			}
+			change(!test.possible)
+			command := h.RecordReport(test.after, h.now)
+			require.NotNil(t, command, "the change must be committed")
+			h.commit(command)
+			change(test.possible)
+			h.startTerm(9)
+			change(test.possible)
+			if test.possible {
+				h.commit(&wire.QueueCommand{Gone: []*wire.WorkerLife{test.after}})
+				change(false)
+			}
+		})
+	}
+}
+
 // TestWaitNamesWhatIsMissing guards against a wait whose reason does not say what would end it, and against a new leader
 // that takes the few workers it has heard of for all.
 func TestWaitNamesWhatIsMissing(t *testing.T) {
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -258,9 +258,7 @@
 		s.drainDeadline = now + time.Duration(report.GetDrainLeftMs())*time.Millisecond
 	}
 	if report.GetAddress() != incarnation.Report().GetAddress() || report.GetDraining() && !incarnation.Draining() ||
-		report.GetCpuMillis() != incarnation.Report().GetCpuMillis() ||
-		report.GetMemoryMb() != incarnation.Report().GetMemoryMb() ||
-		report.GetGpus() != incarnation.Report().GetGpus() {
+		incarnation.DiffersFrom(report) {
 		return change
 	}
 	return nil
