Scheduler: skip dropped jobs, and keep matches when a worker starts again

- A job that has ended stays in the list that admission walks until the next round.
If rounds are far apart, its times are dropped before that, and counting it ended the leader with a nil pointer.
It is skipped.
TestAdmissionAfterEndedJobs panicked before.
- A worker that started again as it was made the leader match all jobs anew.
The matcher is now kept if no worker can run anything else than before (TestRestartedWorkerKeepsMatches).

--- a/controld/internal/matcher/matcher.go
+++ b/controld/internal/matcher/matcher.go
@@ -18,6 +18,11 @@
 	Capacity   resource.Vector
 }
 
+// Equal reports whether two workers have the same name and can run the same tasks.
+func (w Worker) Equal(o Worker) bool {
+	return w.Name == o.Name && w.Pool == o.Pool && w.Capacity == o.Capacity && slices.Equal(w.Labels, o.Labels)
+}
+
 // Requirement is what the tasks of a step require of workers.
 type Requirement struct {
 	Pool string
@@ -110,10 +115,10 @@
 		groupOf: make(map[string]*Group, len(workers)), matches: map[Requirement]*Match{}, sets: map[string]*Set{},
 		none: &Set{},
 	}
-	groups := map[string]*Group{}
+	groups := map[groupKey]*Group{}
 	for _, w := range workers {
 		labels := slices.Sorted(slices.Values(w.Labels))
-		key := fmt.Sprintf("%q %q %v", w.Pool, labels, w.Capacity)
+		key := groupKey{pool: w.Pool, labels: strings.Join(labels, "\x00"), capacity: w.Capacity}
 		g := groups[key]
 		if g == nil {
 			g = &Group{index: len(m.groups), pool: w.Pool, labels: labels, capacity: w.Capacity}
@@ -126,6 +131,12 @@
 	return m
 }
 
+// groupKey holds what the workers of a group have in common.
+type groupKey struct {
+	pool, labels string
+	capacity     resource.Vector
+}
+
 // Groups returns all groups.
 func (m *Matcher) Groups() []*Group { return m.groups }
 
--- a/controld/internal/scheduler/backlog.go
+++ b/controld/internal/scheduler/backlog.go
@@ -168,6 +168,9 @@
 	b := sc.backlog
 	sums := map[stepClass]*waitingWork{}
 	for _, j := range sc.jobs.runnable {
+		if j.Ended() && j.ActiveRuns() == 0 {
+			continue
+		}
 		timing := sc.timings[j]
 		sc.updateMatches(timing.matches, j)
 		for number, step := range j.Steps() {
--- a/controld/internal/scheduler/matching.go
+++ b/controld/internal/scheduler/matching.go
@@ -27,8 +27,6 @@
 	if sc.matcher != nil && sc.workersVersion == version && sc.matchedConfig == config {
 		return
 	}
-	sc.workersVersion, sc.matchedConfig = version, config
-	sc.matchVersion++
 	workers := make([]matcher.Worker, 0, len(sc.batch.Incarnations()))
 	for worker, incarnation := range sc.batch.Incarnations() {
 		if incarnation.Draining() {
@@ -40,7 +38,14 @@
 		})
 	}
 	slices.SortFunc(workers, func(a, b matcher.Worker) int { return cmp.Compare(a.Name, b.Name) })
-	sc.matcher = matcher.New(workers)
+	isSame := sc.matcher != nil && sc.matchedConfig == config && slices.EqualFunc(workers, sc.matchedWorkers, matcher.Worker.Equal)
+	sc.workersVersion, sc.matchedConfig = version, config
+	if isSame {
+		// A worker has started again and can run what it could before.
+		return
+	}
+	sc.matchVersion++
+	sc.matchedWorkers, sc.matcher = workers, matcher.New(workers)
 	for _, s := range sc.sessions {
 		s.group = sc.matcher.GroupOf(s.incarnation.Worker())
 	}
--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -333,6 +333,40 @@
 	require.Equal(t, 0, h.Pending("q", h.now), "it has begun")
 }
 
+// TestAdmissionAfterEndedJobs guards against counting jobs that have ended since the last round and whose times are
+// dropped already.
+func TestAdmissionAfterEndedJobs(t *testing.T) {
+	h := newLabeledHarness(t, 4, true)
+	h.earliestRound = h.now + time.Hour
+	for i := range forgetBatchSize + 10 {
+		h.submitJob(fmt.Sprintf("%016x", i), "q", oneTaskStep())
+		h.commit(&wire.QueueCommand{Cancel: fmt.Sprintf("%016x", i)})
+	}
+	h.advance(0)
+	require.Empty(t, h.timings)
+	require.NotEmpty(t, h.jobs.runnable)
+	a := h.Admit(h.batch.Queue("q"), &wire.SubmittedJob{Id: testJobID, Queue: "q", Steps: []*wire.JobStep{oneTaskStep()}}, h.now+time.Second)
+	require.True(t, a.Admitted)
+	require.Zero(t, a.Backlog)
+}
+
+// TestRestartedWorkerKeepsMatches guards against matching all jobs anew each time that a worker starts again as it was.
+func TestRestartedWorkerKeepsMatches(t *testing.T) {
+	h := newLabeledHarness(t, 4, false)
+	version := h.matchVersion
+	life := labeledLife("w001", "a")
+	life.BornUnixMs = 2
+	h.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{life}})
+	h.updateMatcher()
+	require.Equal(t, version, h.matchVersion)
+	h.advance(sessionCheckInterval)
+	require.NotNil(t, h.currentSession(h.batch.Incarnation("w001")).group)
+	life.BornUnixMs, life.CpuMillis = 3, 4000
+	h.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{life}})
+	h.updateMatcher()
+	require.Equal(t, version+1, h.matchVersion)
+}
+
 // TestPendingCountsImpossibleJobs guards against a number of pending jobs without those that no worker can run: they were
 // accepted and have not begun.
 func TestPendingCountsImpossibleJobs(t *testing.T) {
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -85,9 +85,10 @@
 	consents map[*batch.Step]*consentState
 	helpers  map[string]*helper
 	timings  map[*batch.Job]jobTiming
-	// matcher tells which of the workers that get new runs could run a step. It is for workersVersion of the batch and
-	// matchedConfig; matchVersion counts its replacements.
+	// matcher tells which of matchedWorkers, those that get new runs, could run a step. It is for workersVersion of the batch
+	// and matchedConfig; matchVersion counts its replacements.
 	matcher        *matcher.Matcher
+	matchedWorkers []matcher.Worker
 	workersVersion uint64
 	matchedConfig  *wire.QueueConfig
 	matchVersion   uint64
