Gangs: leave out those that the consent service has refused; take back the change of reservations

 let gangs that do not fit on their granted workers reserve nothing. It took the place of the question in the wrong spot: a gang that may still be granted more is not impossible, and its use of a reservation slows down the others, which packs better. The allocator and its tests are those of the base again.

What cannot be done is a gang that does not fit on the workers that are left once the consent service has refused the others for good. It counts as impossible now, like a gang that fits on no workers: no place in a round, so no reservation either, and ahead of no job. TestRefusedGangHoldsUpNothing failed before; the reference of TestAdmissionWithoutWeights asks each worker for it too.

--- a/controld/internal/allocator/allocator_test.go
+++ b/controld/internal/allocator/allocator_test.go
@@ -307,22 +307,6 @@
 	}
 }
 
-// TestGangsThatCannotFitReserveNothing guards against gangs that do not fit on the workers that they may use, even idle,
-// using up the reservations of a round: other gangs then never start beside small tasks.
-func TestGangsThatCannotFitReserveNothing(t *testing.T) {
-	list := workers(16, 16, 16)
-	tooWide, waits := gang(3, 20, candidatesOn(2)), gang(2, 32, candidatesOn(3))
-	tooWide.StartBy, waits.StartBy = 1, 2
-	demands := []Demand{tooWide, tooWide, waits}
-	plan := New(Config{StopTime: 400 * time.Millisecond, MaxReservingGangs: 1}).Decide(list, demands, runsFunc(list, nil))
-	require.Len(t, plan.WaitingGangs, 3)
-	for _, w := range plan.WaitingGangs {
-		require.Equal(t, w.Demand == 2, w.MayReserve)
-		require.Equal(t, w.Demand == 2, w.Feasible)
-		require.Equal(t, w.Demand == 2, len(w.Shares) > 0)
-	}
-}
-
 // TestWholeWorkerTaskStartsOnIdleWorker guards against a task that the headroom bars for good: it needs more of a worker than
 // the headroom leaves, but no more than the worker has (review/5).
 func TestWholeWorkerTaskStartsOnIdleWorker(t *testing.T) {
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -43,7 +43,7 @@
 		r.placeMembers(index, offers)
 		return
 	}
-	if !fitsIdle(offers, count) || d.Lateness == Overdue || d.Excess || r.reserving >= r.cfg.MaxReservingGangs {
+	if d.Lateness == Overdue || d.Excess || r.reserving >= r.cfg.MaxReservingGangs {
 		r.plan.WaitingGangs = append(r.plan.WaitingGangs,
 			WaitingGang{Demand: index, Feasible: totalNow >= count, Shares: sharesNow(offers, count)})
 		return
@@ -68,16 +68,6 @@
 	r.reserve(index, shares, waiting.startIn)
 }
 
-// fitsIdle reports whether a gang fits on the offers when they are idle. One that does not must not use up the reservations
-// of a round.
-func fitsIdle(offers []offer, count int) bool {
-	total := 0
-	for _, o := range offers {
-		total += o.limit
-	}
-	return total >= count
-}
-
 // lateReservationLead is how close the start of a gang that is late must be for it to reserve capacity while most of it
 // is free.
 const lateReservationLead = time.Second
--- a/controld/internal/scheduler/admit_test.go
+++ b/controld/internal/scheduler/admit_test.go
@@ -16,9 +16,9 @@
 
 // fitsOnIdleWorkers reports whether the workers could run a step and those that it depends on if they were idle, by looking
 // at each worker.
-func fitsOnIdleWorkers(b *batch.Batch, step *batch.Step) bool {
+func fitsOnIdleWorkers(sc *Scheduler, step *batch.Step) bool {
 	for _, number := range step.Spec().GetAfter() {
-		if before := step.Job().Steps()[number]; !before.Done() && !fitsOnIdleWorkers(b, before) {
+		if before := step.Job().Steps()[number]; !before.Done() && !fitsOnIdleWorkers(sc, before) {
 			return false
 		}
 	}
@@ -26,12 +26,14 @@
 	if step.Spec().GetGang() {
 		needed = int64(len(step.Tasks()))
 	}
-	for _, incarnation := range b.Incarnations() {
+	for _, incarnation := range sc.batch.Incarnations() {
 		report := incarnation.Report()
+		c := sc.consents[step]
+		refused := c != nil && c.denied[incarnation.Worker()]
 		failed := step.Spec().GetGang() && slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool {
 			return t.FailedOn(incarnation.Worker())
 		})
-		if incarnation.Draining() || report.GetPool() != step.Job().Queue().GetPool() || failed ||
+		if incarnation.Draining() || report.GetPool() != step.Job().Queue().GetPool() || failed || refused ||
 			step.Spec().GetLabel() != "" && !slices.Contains(report.GetLabels(), step.Spec().GetLabel()) {
 			continue
 		}
@@ -58,7 +60,7 @@
 			continue
 		}
 		for _, step := range j.Steps() {
-			if fitsOnIdleWorkers(sc.batch, step) {
+			if fitsOnIdleWorkers(sc, step) {
 				backlog += int64(step.Waiting()) * step.Need().CPU() * sc.stepMs(step) / 1000
 			}
 		}
--- a/controld/internal/scheduler/matching.go
+++ b/controld/internal/scheduler/matching.go
@@ -124,18 +124,18 @@
 		return 0
 	}
 	set := m.steps[step.Number()].Set()
+	if step.Spec().GetGang() {
+		if !sc.gangHasWorkers(step, set) {
+			return 0
+		}
+		return waiting
+	}
 	if sc.isRefusedEverywhere(step, set) {
 		return 0
 	}
 	if !step.Failed() {
 		return waiting
 	}
-	if step.Spec().GetGang() {
-		if !gangHasWorkers(step, set) {
-			return 0
-		}
-		return waiting
-	}
 	for _, t := range step.Tasks() {
 		if t.Waiting() && failedEverywhere(t, set) {
 			waiting--
@@ -171,13 +171,19 @@
 	return true
 }
 
-// gangHasWorkers reports whether a gang fits on the workers of a set on which no member has failed, if they are idle.
-func gangHasWorkers(step *batch.Step, set *matcher.Set) bool {
+// gangHasWorkers reports whether a gang fits on the workers of a set that the consent service has not refused and on which
+// no member has failed, if they are idle.
+func (sc *Scheduler) gangHasWorkers(step *batch.Step, set *matcher.Set) bool {
+	c := sc.consents[step]
+	if (c == nil || len(c.denied) == 0) && !step.Failed() {
+		return true
+	}
 	r := requirement(step.Job().Queue(), step.Spec())
 	var copies int64
 	for _, g := range set.Groups() {
 		for _, worker := range g.Workers() {
-			if slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool { return t.FailedOn(worker) }) {
+			if c != nil && c.denied[worker] ||
+				step.Failed() && slices.ContainsFunc(step.Tasks(), func(t *batch.Task) bool { return t.FailedOn(worker) }) {
 				continue
 			}
 			if copies += matcher.CopiesOn(r, g.Capacity()); copies >= int64(r.Together) {
--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -436,6 +436,27 @@
 	require.Equal(t, reason.WaitsForConsent, h.Wait(h.batch.Job(testJobID).Steps()[0], h.now).Reason)
 }
 
+// TestRefusedGangHoldsUpNothing guards against a gang that the consent service allows on too few workers, and has refused on
+// all others, taking a place and a reservation in each round.
+func TestRefusedGangHoldsUpNothing(t *testing.T) {
+	h := newConsentHarness(t, 4, 3)
+	h.submit(&wire.JobStep{Count: 4, CpuMillis: 8000, EstimateMs: 1000, Gang: true})
+	h.advance(0)
+	step := h.batch.Job(testJobID).Steps()[0]
+	h.grantTickets(step, h.now+time.Minute, "w000", "w001")
+	require.Equal(t, 4, h.possibleTasks(step), "two workers have not been asked")
+	h.consentFor(step).denied["w002"] = true
+	h.changed = true
+	h.advance(time.Second)
+	require.Equal(t, 1, h.Impossible())
+	w := h.Wait(step, h.now)
+	require.Equal(t, reason.WaitsForConsent, w.Reason)
+	require.Contains(t, w.Detail, "refused 1")
+	h.commit(&wire.QueueCommand{Workers: []*wire.WorkerLife{workerLife("w004", 1)}})
+	h.advance(time.Second)
+	require.Zero(t, h.Impossible(), "a worker has joined that may be allowed")
+}
+
 // TestCostOfImpossibleWork guards against rounds and admission that look at each job that no worker can run.
 func TestCostOfImpossibleWork(t *testing.T) {
 	h := newLabeledHarness(t, 50, false)
--- a/controld/internal/scheduler/wait.go
+++ b/controld/internal/scheduler/wait.go
@@ -93,7 +93,7 @@
 func (sc *Scheduler) missingWorkersOf(step *batch.Step) (why reason.Reason, detail string) {
 	match := sc.matchesOf(step.Job()).steps[step.Number()]
 	if why, detail = match.Missing(); why != reason.None || !step.Failed() || sc.possibleTasks(step) > 0 ||
-		sc.isRefusedEverywhere(step, match.Set()) {
+		sc.isRefusedEverywhere(step, match.Set()) || step.Spec().GetGang() && sc.consents[step] != nil {
 		return why, detail
 	}
 	return reason.NoMatchingWorker, fmt.Sprintf("It has failed on each worker that could run it (%d).", match.Set().Workers())
