Soak: one job in twelve requires a label that no worker has

Each asks for a hundred tasks of a minute. Such jobs must wait as queued beside all others, never start, and be cancelled at the end, last of all.

--- a/standin/internal/soaker/soaker.go
+++ b/standin/internal/soaker/soaker.go
@@ -35,6 +35,8 @@
 	maxAttempts        = 40
 	// One in crashOneIn jobs has a task that crashes its workers, on average.
 	crashOneIn = 50
+	// One in impossibleOneIn jobs requires a label that no worker has, on average.
+	impossibleOneIn = 12
 	// One in cancelOneIn accepted jobs is canceled, on average.
 	cancelOneIn = 20
 )
@@ -118,6 +120,8 @@
 	partitions map[[2]string]bool
 	accepted   map[string]bool
 	refused    map[string]bool
+	// impossible holds the jobs that no worker can run.
+	impossible map[string]bool
 	// acked maps configuration versions to when they were acknowledged.
 	acked  map[uint64]time.Time
 	report Report
@@ -129,7 +133,7 @@
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 1)), connRand: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		workspaces: workspacechecker.New(cfg.workspaces()),
 		client:     callerclient.New(), partitions: map[[2]string]bool{},
-		accepted: map[string]bool{}, refused: map[string]bool{}, acked: map[uint64]time.Time{},
+		accepted: map[string]bool{}, refused: map[string]bool{}, impossible: map[string]bool{}, acked: map[uint64]time.Time{},
 	}
 }
 
@@ -185,6 +189,11 @@
 			s.recordViolation("job %s started although each submission was refused", id)
 		}
 	}
+	for id := range s.impossible {
+		if s.fleet.started[id] {
+			s.recordViolation("job %s started although no worker has the label that it requires", id)
+		}
+	}
 	s.report.Accepted, s.report.Refused = len(s.accepted), len(s.refused)
 	return s.report, nil
 }
@@ -387,6 +396,9 @@
 			step.Gang = false
 			s.fleet.markCrashing(id)
 		}
+		if rand.IntN(impossibleOneIn) == 0 {
+			s.markImpossible(id, step)
+		}
 		if step.GetGang() {
 			s.fleet.markGang(id, int(step.GetCount()))
 		}
@@ -431,6 +443,15 @@
 	}()
 }
 
+// markImpossible makes a job one that no worker can run. It asks for much more work than the others, which it must not hold
+// up.
+func (s *Soaker) markImpossible(id string, step *wire.JobStep) {
+	step.Label, step.Count, step.EstimateMs, step.Gang = "label-of-no-worker", 100, 60_000, false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.impossible[id] = true
+}
+
 // cancel cancels an accepted job through random fronts and repeats it until it is acknowledged.
 func (s *Soaker) cancel(id string, workspace int) {
 	for range maxAttempts {
@@ -492,6 +513,17 @@
 	}
 }
 
+// waitingImpossible returns how many of the given jobs no worker can run.
+func (s *Soaker) waitingImpossible(pending map[string]bool) int {
+	count := 0
+	for id := range pending {
+		if s.impossible[id] {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *Soaker) wasCanceled(id string) bool {
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
@@ -500,7 +532,8 @@
 }
 
 // settle waits until all accepted jobs have completed, been canceled or, if they crash their workers, failed, and checks
-// the final state of the queues and the configuration.
+// the final state of the queues and the configuration. The jobs that no worker can run must wait beside all others; they
+// are canceled last.
 func (s *Soaker) settle(ctx context.Context) {
 	s.mu.Lock()
 	pending := make(map[string]bool, len(s.accepted))
@@ -517,7 +550,11 @@
 					return status
 				})
 			switch {
-			case s.fleet.isCrashing(id):
+			case s.impossible[id] && state == "queued":
+				if len(pending) <= s.waitingImpossible(pending) {
+					s.cancel(id, s.fleet.workspaceOf(id))
+				}
+			case s.fleet.isCrashing(id) && !s.impossible[id]:
 				if state == "failed" || state == "canceled" && s.wasCanceled(id) {
 					delete(pending, id)
 				}
@@ -532,7 +569,8 @@
 		return len(pending) == 0
 	})
 	for id := range pending {
-		s.recordViolation("accepted job %s did not end as it should; crashes its workers: %v", id, s.fleet.isCrashing(id))
+		s.recordViolation("accepted job %s did not end as it should; crashes its workers: %v, no worker can run it: %v",
+			id, s.fleet.isCrashing(id), s.impossible[id])
 	}
 	if len(pending) == 0 {
 		s.checkQueuesEmpty(ctx)
