Rounds: remember only the steps that a round has looked at

The time at which a step was last chosen was also set for isolated steps that then had no turn among more than 80 of them, so that the same ones came last each time. It is now set where a step is looked at. Capacities by group are collected only in rounds with steps for a part of the workers. Found on reading the change; TestIsolatedTasksTakeTurns fails with the order of ("a task that fits was not looked at in three rounds").

--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -7,6 +7,7 @@
 
 	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
+	"flamingodrift.example/controld/internal/matcher"
 	"flamingodrift.example/controld/internal/resource"
 	"flamingodrift.example/controld/internal/shareranker"
 	"flamingodrift.example/core/executor"
@@ -246,7 +247,11 @@
 	sc.countCapacity(r)
 	waiting = sc.placeIsolated(r, waiting)
 	sc.addWorkers(r)
+	isCut := len(waiting) > maxDemandsPerRound
 	for _, w := range waiting[:min(len(waiting), maxDemandsPerRound)] {
+		if isCut {
+			*sc.consideredAt(w.step) = r.now
+		}
 		sc.addDemand(r, w)
 	}
 }
@@ -281,11 +286,7 @@
 		return waiting
 	}
 	slices.SortStableFunc(waiting, func(a, b waitingStep) int { return sc.compareWaiting(&a, &b) })
-	waiting = sc.chooseForRound(waiting, now)
-	for _, w := range waiting[:maxDemandsPerRound] {
-		*sc.consideredAt(w.step) = now
-	}
-	return waiting
+	return sc.chooseForRound(waiting, now)
 }
 
 // compareWaiting orders waiting steps by urgency. Overdue steps take turns: something that no rule here knows may bar the
@@ -308,13 +309,19 @@
 
 // chooseForRound puts the steps that the round considers first.
 func (sc *Scheduler) chooseForRound(waiting []waitingStep, now time.Duration) []waitingStep {
-	room := sc.newRoomFinder(now)
+	var room *roomFinder
+	hasRoom := func(set *matcher.Set, step *batch.Step) bool {
+		if room == nil {
+			room = sc.newRoomFinder(now)
+		}
+		return room.hasRoom(set, step.Need())
+	}
 	byPriority := map[uint32]int{}
 	var first, rest, excess, blocked []waitingStep
 	for _, w := range waiting {
 		set := sc.matchesOf(w.step.Job()).steps[w.step.Number()].Set()
 		switch {
-		case !set.IsPool() && !room.hasRoom(set, w.step.Need()):
+		case !set.IsPool() && !hasRoom(set, w.step):
 			blocked = append(blocked, w)
 		case w.excess:
 			excess = append(excess, w)
--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -208,6 +208,37 @@
 	require.Fail(t, "a step that fits was not looked at in six rounds")
 }
 
+// TestIsolatedTasksTakeTurns guards against isolated tasks that wait for an idle worker keeping others from being looked at.
+func TestIsolatedTasksTakeTurns(t *testing.T) {
+	h := newLabeledHarness(t, 4, false)
+	var ends []*wire.RunEnd
+	submit := func(id, label, worker string) {
+		h.submitJob(id, "q", &wire.JobStep{Count: 1, CpuMillis: 50, EstimateMs: 60000, Label: label})
+		h.commit(&wire.QueueCommand{Placements: []*wire.RunPlacement{{Job: id, Run: 1, Worker: worker, BornUnixMs: 1}}})
+		ends = append(ends, &wire.RunEnd{
+			Job: id, Run: 1, Outcome: wire.RunOutcome_RUN_OUTCOME_CUT_SHORT,
+			Crash: &wire.WorkerCrash{Worker: worker, BornUnixMs: 1, Run: 1, OnlySuspect: true, Confirmed: true},
+		})
+	}
+	for i := range maxDemandsPerRound + 20 {
+		submit(fmt.Sprintf("f%015x", i), "b", "w003")
+	}
+	submit(testJobID, "a", "w000")
+	h.commit(&wire.QueueCommand{Ends: ends})
+	require.True(t, h.batch.Job(testJobID).Steps()[0].Suspected())
+	h.submitJob("00000000000000bb", "q", &wire.JobStep{Count: 1, CpuMillis: 500, EstimateMs: 60000, Label: "b"})
+	h.commit(&wire.QueueCommand{Placements: []*wire.RunPlacement{{Job: "00000000000000bb", Run: 1, Worker: "w003", BornUnixMs: 1}}})
+	h.now += probeTime
+	for range 3 {
+		if placements := h.decide(h.now); len(placements) > 0 {
+			require.Equal(t, testJobID, placements[0].GetJob())
+			return
+		}
+		h.now += decideInterval
+	}
+	require.Fail(t, "a task that fits was not looked at in three rounds")
+}
+
 // TestWorkersMakeWorkPossible guards the moments at which work becomes possible or impossible: a step that no worker can
 // run has no place in a round, and gets one as soon as a worker that can run it is known.
 func TestWorkersMakeWorkPossible(t *testing.T) {
