--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -20,7 +20,7 @@
 	Speed float64
 	// UrgentCPU is the CPU that runs of priority 0 occupy, in thousandths of a core.
 	UrgentCPU int64
-	// Unproven is set for a worker whose latest runs failed. It gets at most one task per round, and no member of a
+	// Unproven is set for a worker whose latest runs failed. It gets at most one task per round beside the members of a
 	// gang.
 	Unproven bool
 }
@@ -71,6 +71,9 @@
 	Reserved []GangShare
 	// Length is how long a task is expected to run; 0 means unknown.
 	Length time.Duration
+	// IgnoreHeadroom is set for a demand that has waited so long that it may use the headroom of workers. It does so after
+	// all other demands of the round.
+	IgnoreHeadroom bool
 	// Allowance is what the workspace of the demand may still use on all workers together. The demands of a workspace
 	// share it, and placements reduce it. It is nil without a limit.
 	Allowance *resource.Vector
@@ -97,10 +100,16 @@
 // Task is one waiting task of a demand.
 type Task struct {
 	Index int
-	// Avoid holds the indexes of the workers on which the task failed.
+	// Avoid holds the indexes of the workers on which the task must not run yet, because it failed there recently.
 	Avoid []int
-	// LastAttempt is set when one more failure would fail the job.
+	// FailedOn holds the indexes of the other workers on which the task failed. It returns to them if no other worker has
+	// room for it.
+	FailedOn []int
+	// LastAttempt is set when one more failure would fail the job. The task runs on an unproven worker only if no other
+	// worker has room for it and no other demand of the round uses the worker.
 	LastAttempt bool
+	// ProvenOnly is set for a task, or for all members of a gang, that must not run on an unproven worker yet.
+	ProvenOnly bool
 }
 
 // Candidate is a worker that may run a step.
@@ -204,7 +213,9 @@
 	reserving int
 	// placedOn is set for workers on which this round placed a task.
 	placedOn []bool
-	plan     Plan
+	// postponed holds the tasks that are placed after all demands.
+	postponed []postponedTasks
+	plan      Plan
 }
 
 // Decide returns which tasks to place and which runs to stop for them. It calls runs with the index of a worker to get
@@ -238,6 +249,9 @@
 			r.placeIndependentTasks(d)
 		}
 	}
+	for _, p := range r.postponed {
+		r.placeTasks(p, true)
+	}
 	return r.plan
 }
 
@@ -250,15 +264,15 @@
 	slices.SortStableFunc(indexes, func(a, b int) int {
 		x, y := &demands[a], &demands[b]
 		return cmp.Or(
-			compareExcess(x.Excess, y.Excess), cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority),
+			compareBools(x.Excess, y.Excess), cmp.Compare(x.Lateness, y.Lateness), cmp.Compare(x.Priority, y.Priority),
 			cmp.Compare(x.ShareRank, y.ShareRank), cmp.Compare(x.StartBy, y.StartBy),
 		)
 	})
 	return indexes
 }
 
-// compareExcess orders excess work behind other work.
-func compareExcess(a, b bool) int {
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -269,14 +283,11 @@
 	}
 }
 
-// available returns the capacity of a worker that a demand may use now. Reserved capacity is open to demands of a more
-// urgent priority, and to tasks that should end before the gang starts.
+// available returns the capacity of a worker that a demand may use now beside the headroom.
 func (r *round) available(d *Demand, worker int) resource.Vector {
-	free := r.free[worker]
-	for _, res := range r.reservations[worker] {
-		if d.Priority >= res.priority && (d.Gang || d.Length == 0 || d.Length > res.startIn) {
-			free = free.Sub(res.resources)
-		}
+	free := r.unclaimed(d, worker)
+	if d.Gang && d.IgnoreHeadroom {
+		return free
 	}
 	capacity := r.workers[worker].Capacity
 	idle := r.free[worker] == capacity
@@ -294,6 +305,18 @@
 	return free
 }
 
+// unclaimed returns the free capacity of a worker without what is reserved. Reserved capacity is open to demands of a more
+// urgent priority, and to tasks that should end before the gang starts.
+func (r *round) unclaimed(d *Demand, worker int) resource.Vector {
+	free := r.free[worker]
+	for _, res := range r.reservations[worker] {
+		if d.Priority >= res.priority && (d.Gang || d.Length == 0 || d.Length > res.startIn) {
+			free = free.Sub(res.resources)
+		}
+	}
+	return free
+}
+
 // headroom returns the CPU, in thousandths of a core, that other demands must leave free for demands of priority 0.
 // What runs of priority 0 use already counts towards it.
 func (r *round) headroom(worker int) int64 {
--- a/controld/internal/allocator/gang.go
+++ b/controld/internal/allocator/gang.go
@@ -14,6 +14,8 @@
 	// fitsNow is how many members fit into the capacity that is available now; limit is how many the candidate may run
 	// at most, by its capacity and by MostPerWorker.
 	fitsNow, limit int
+	// isSecondChoice is set if a member has failed on the candidate or the latest runs there failed.
+	isSecondChoice bool
 }
 
 // plannedStart is when a waiting gang can start, and how many members each offer would run.
@@ -72,12 +74,14 @@
 // is free.
 const lateReservationLead = time.Second
 
-// offers returns the candidates on which at least one member fits, fastest workers first.
+// offers returns the candidates on which at least one member fits: second choices last, fastest workers first.
 func (r *round) offers(d *Demand) []offer {
 	var offers []offer
 	for _, c := range d.Candidates {
 		w := &r.workers[c.Worker]
-		if w.Unproven || slices.ContainsFunc(d.Tasks, func(t Task) bool { return slices.Contains(t.Avoid, c.Worker) }) {
+		if slices.ContainsFunc(d.Tasks, func(t Task) bool {
+			return w.Unproven && t.ProvenOnly || slices.Contains(t.Avoid, c.Worker)
+		}) {
 			continue
 		}
 		limit := int64(len(d.Tasks))
@@ -87,12 +91,16 @@
 		if limit = min(limit, d.Need.CopiesIn(w.Capacity)); limit > 0 {
 			offers = append(offers, offer{
 				candidate: c, limit: int(limit), fitsNow: int(min(limit, d.Need.CopiesIn(r.available(d, c.Worker)))),
+				isSecondChoice: w.Unproven || slices.ContainsFunc(d.Tasks, func(t Task) bool {
+					return slices.Contains(t.FailedOn, c.Worker)
+				}),
 			})
 		}
 	}
 	// The members of a gang end together, so one slow worker delays all of them.
 	slices.SortStableFunc(offers, func(a, b offer) int {
 		return cmp.Or(
+			compareBools(a.isSecondChoice, b.isSecondChoice),
 			cmp.Compare(r.workers[b.candidate.Worker].Speed, r.workers[a.candidate.Worker].Speed),
 			cmp.Compare(b.fitsNow, a.fitsNow))
 	})
@@ -200,15 +208,28 @@
 		racks[rack] = append(racks[rack], o)
 	}
 	best, found := offers, false
-	var first time.Duration
+	var first plannedStart
 	for _, name := range names {
-		if s, ok := r.earliestStart(d, racks[name], d.Lateness == InTime); ok && (!found || s.startIn < first) {
-			best, first, found = racks[name], s.startIn, true
+		s, ok := r.earliestStart(d, racks[name], d.Lateness == InTime)
+		if ok && (!found || cmp.Or(cmp.Compare(s.startIn, first.startIn),
+			cmp.Compare(s.secondChoices(racks[name]), first.secondChoices(best))) < 0) {
+			best, first, found = racks[name], s, true
 		}
 	}
 	return best
 }
 
+// secondChoices returns how many members the planned start would run on second choices.
+func (s plannedStart) secondChoices(offers []offer) int {
+	count := 0
+	for i, members := range s.counts {
+		if offers[i].isSecondChoice {
+			count += members
+		}
+	}
+	return count
+}
+
 // placeMembers places all tasks of a gang, filling the offers with consent in their order.
 func (r *round) placeMembers(index int, offers []offer) {
 	d := &r.demands[index]
--- a/controld/internal/scheduler/isolation.go
+++ b/controld/internal/scheduler/isolation.go
@@ -45,7 +45,8 @@
 	minAlonePerRound = 4
 	// maxAloneWait is how long a task may wait to run alone, and maxAloneWaitIdle the same while most of the capacity is
 	// free. After that it starts on a worker without other new runs. A task that is deferred waits for maxAloneWait before
-	// it may run alone.
+	// it may run alone. maxAloneWait is also how long an isolated task waits for a worker without other new runs: a worker
+	// that is the only one with a label may never be without.
 	maxAloneWait     = 20 * time.Second
 	maxAloneWaitIdle = time.Second
 )
@@ -63,9 +64,10 @@
 func (sc *Scheduler) placeIsolated(r *round, waiting []waitingStep) []waitingStep {
 	isolated, rest := splitIsolated(waiting)
 	if len(isolated) == 0 {
-		sc.probePool, sc.aloneSince = nil, nil
+		sc.probePool, sc.isolatedSince = nil, nil
 		return rest
 	}
+	sc.updateIsolatedSince(isolated, r.now)
 	if len(isolated) > maxDemandsPerRound {
 		// They take turns, as those with the fewest crashes may need workers that have no room for long.
 		slices.SortStableFunc(isolated, func(a, b isolatedTask) int {
@@ -77,7 +79,7 @@
 		}
 	}
 	slices.SortStableFunc(isolated, func(a, b isolatedTask) int { return cmp.Compare(a.crashes, b.crashes) })
-	sessions := sc.probeSessions(r.now)
+	quiet, sessions := sc.probeSessions(r.now)
 	sc.updateProbePool(isolated, sessions, r)
 	apartLeft, callsLeft := sc.apartStartsLeft(r), sc.isolatedCallsLeft(isolated)
 	aloneLeft := max(minAlonePerRound, len(sc.probePool))
@@ -91,7 +93,7 @@
 		if isLimited && *left <= 0 || sc.isDeferred(task, r.now) {
 			continue
 		}
-		if sc.placeIsolatedTask(r, task, sessions) {
+		if sc.placeIsolatedTask(r, task, quiet) || sc.isolationOverdue(task, r.now) && sc.placeIsolatedTask(r, task, sessions) {
 			*left--
 			continue
 		}
@@ -110,7 +112,12 @@
 // most likely crashes the next worker too, which would be missed while the capacity is in use.
 func (sc *Scheduler) isDeferred(task isolatedTask, now time.Duration) bool {
 	return task.level == runsAlone && task.crashes > 1 && !sc.mostCapacityFree &&
-		now-sc.aloneSince[task.tasks[0]] < maxAloneWait
+		!sc.isolationOverdue(task, now)
+}
+
+// isolationOverdue reports whether an isolated task has waited for so long that it may start beside other new runs.
+func (sc *Scheduler) isolationOverdue(task isolatedTask, now time.Duration) bool {
+	return now-sc.isolatedSince[task.tasks[0]] >= maxAloneWait
 }
 
 // splitIsolated separates the isolated tasks from the others.
@@ -165,7 +172,7 @@
 		if sc.mostCapacityFree {
 			maxWait = maxAloneWaitIdle
 		}
-		if s == nil && r.now-sc.aloneSince[task.tasks[0]] > maxWait {
+		if s == nil && r.now-sc.isolatedSince[task.tasks[0]] > maxWait {
 			s = sc.firstFitting(r, task, sessions, nil)
 		}
 	} else {
@@ -181,7 +188,8 @@
 // placeIsolatedGang places a gang on workers without other new runs if it fits there as a whole.
 func (sc *Scheduler) placeIsolatedGang(r *round, task isolatedTask, sessions []*session) bool {
 	var chosen []*session
-	for _, s := range sessions {
+	isSecondChoice := func(s *session) bool { return sc.isSecondChoice(task, s) }
+	for _, s := range secondChoicesLast(sessions, isSecondChoice) {
 		if len(chosen) >= len(task.tasks) {
 			break
 		}
@@ -205,6 +213,16 @@
 	return true
 }
 
+// secondChoicesLast returns sessions in their order, but second choices after all others.
+func secondChoicesLast(sessions []*session, isSecondChoice func(*session) bool) []*session {
+	if !slices.ContainsFunc(sessions, isSecondChoice) {
+		return sessions
+	}
+	ordered := slices.Clone(sessions)
+	slices.SortStableFunc(ordered, func(a, b *session) int { return compareBools(isSecondChoice(a), isSecondChoice(b)) })
+	return ordered
+}
+
 func (sc *Scheduler) placeOn(r *round, t *batch.Task, s *session) {
 	s.takenInRound = r.number
 	r.placements = append(r.placements, newPlacement(t, s.incarnation))
--- a/controld/internal/scheduler/report.go
+++ b/controld/internal/scheduler/report.go
@@ -279,6 +279,7 @@
 		sc.logSuspect(end.Task, end.Crash)
 	}
 	if end.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
+		sc.recordTaskFailure(end.Task, now)
 		logger.RunFailed.Log(sc.cfg.Logger, "job", end.Task.Step().Job().ID(), "step", end.Task.Step().Number(),
 			"index", end.Task.Index(), "run", end.Task.Run(), "worker", end.Worker,
 			"failures_left", end.Task.FailuresLeft(), "at_ms", now.Milliseconds())
--- a/controld/internal/scheduler/scheduler.go
+++ b/controld/internal/scheduler/scheduler.go
@@ -85,6 +85,8 @@
 	consents map[*batch.Step]*consentState
 	helpers  map[string]*helper
 	timings  map[*batch.Job]jobTiming
+	// failedAt holds when a run of a task, or of a gang by its first task, failed last in this term.
+	failedAt map[*batch.Task]time.Duration
 	// matcher tells which of matchedWorkers, those that get new runs, could run a step. It is for workersVersion of the batch
 	// and matchedConfig; matchVersion counts its replacements.
 	matcher        *matcher.Matcher
@@ -101,12 +103,12 @@
 	backlog *backlog
 	// reservations holds where the gangs with reserved capacity will run.
 	reservations map[*batch.Step][]sessionShare
-	// probePool holds the workers that are kept for tasks that must run alone; aloneSince is since when each of these tasks
-	// waits.
-	probePool  []*session
-	aloneSince map[*batch.Task]time.Duration
-	ended      []endedJob
-	speeds     map[string]*workerSpeed
+	// probePool holds the workers that are kept for tasks that must run alone.
+	probePool []*session
+	// isolatedSince holds since when each isolated task waits; a gang counts by its first task.
+	isolatedSince map[*batch.Task]time.Duration
+	ended         []endedJob
+	speeds        map[string]*workerSpeed
 	// speedEstimator holds the workers' speeds as learned from the lengths that speeds does not use.
 	speedEstimator *speedestimator.Estimator
 	// nextTimings is when the times of all jobs are computed anew.
@@ -209,7 +211,7 @@
 		sessions: map[string]*session{}, removed: map[string]time.Duration{},
 		consents: map[*batch.Step]*consentState{}, helpers: map[string]*helper{},
 		returned: map[*batch.Incarnation]bool{},
-		timings:  map[*batch.Job]jobTiming{}, reservations: map[*batch.Step][]sessionShare{},
+		timings:  map[*batch.Job]jobTiming{}, failedAt: map[*batch.Task]time.Duration{}, reservations: map[*batch.Step][]sessionShare{},
 		shares: newWorkspaceShares(now), backlog: newBacklog(),
 		speeds: map[string]*workerSpeed{}, grantRates: map[string]float64{},
 		meanWork: map[string]float64{}, speedEstimator: speedestimator.New(),
@@ -256,6 +258,7 @@
 	}
 	for _, t := range effect.Placed {
 		sc.startRun(t, now)
+		sc.endWait(t.Step())
 	}
 	sc.logPlaced(effect.Placed, now)
 	for _, id := range sc.batch.TakeFinished() {
@@ -411,5 +414,10 @@
 				delete(sc.reservations, step)
 			}
 		}
+		for t := range sc.failedAt {
+			if t.Step().Job().Ended() {
+				delete(sc.failedAt, t)
+			}
+		}
 	}
 }
--- a/controld/internal/scheduler/session.go
+++ b/controld/internal/scheduler/session.go
@@ -335,6 +335,9 @@
 	})
 }
 
+// isUnproven reports whether the latest runs on the worker failed.
+func (s *session) isUnproven() bool { return s.failureStreak >= unprovenStreak }
+
 // reachable reports whether the incarnation answers, as far as is known.
 func (s *session) reachable() bool { return !s.unreachable && s.restartSuspectedAt == 0 }
 
--- a/controld/internal/scheduler/timing.go
+++ b/controld/internal/scheduler/timing.go
@@ -33,7 +33,10 @@
 func (sc *Scheduler) newJobTiming(j *batch.Job, now time.Duration) jobTiming {
 	timing := jobTiming{
 		acceptedAt: now, ended: make([]taskLengths, len(j.Steps())),
-		matches: &jobMatches{consideredAt: slices.Repeat([]time.Duration{now}, len(j.Steps()))},
+		matches: &jobMatches{
+			consideredAt: slices.Repeat([]time.Duration{now}, len(j.Steps())),
+			waitsSince:   make([]time.Duration, len(j.Steps())),
+		},
 	}
 	sc.estimate(&timing, j, now)
 	return timing
--- a/controld/internal/scheduler/wait.go
+++ b/controld/internal/scheduler/wait.go
@@ -43,6 +43,9 @@
 	if why, detail := sc.missingWorkersOf(step); why != reason.None {
 		return why, detail
 	}
+	if detail := sc.retryWait(step, now); detail != "" {
+		return reason.WaitsToRetry, detail
+	}
 	if detail := sc.missingUsableWorker(step, now); detail != "" {
 		return reason.NoWorkers, detail
 	}
@@ -91,12 +94,40 @@
 // missingWorkersOf returns why no workers could run a step even if idle, with a sentence that names what is missing, or
 // reason.None if some could. It considers all workers that the log holds, as a new leader has heard of few.
 func (sc *Scheduler) missingWorkersOf(step *batch.Step) (why reason.Reason, detail string) {
-	match := sc.matchesOf(step.Job()).steps[step.Number()]
-	if why, detail = match.Missing(); why != reason.None || !step.Failed() || sc.possibleTasks(step) > 0 ||
-		sc.isRefusedEverywhere(step, match.Set()) || step.Spec().GetGang() && sc.consents[step] != nil {
-		return why, detail
+	return sc.matchesOf(step.Job()).steps[step.Number()].Missing()
+}
+
+// retryWait returns a sentence if a task of a step waits to return to the workers on which it has failed, or if only
+// workers whose latest runs failed are left for it, and an empty string otherwise.
+func (sc *Scheduler) retryWait(step *batch.Step, now time.Duration) string {
+	set := sc.matchesOf(step.Job()).steps[step.Number()].Set()
+	for _, t := range step.Tasks() {
+		if !t.Waiting() {
+			continue
+		}
+		if sc.waitsToRetry(t, now) {
+			return fmt.Sprintf("It has failed on each worker that could run it (%d) and may return to them in %.1f s; %s.",
+				set.Workers(), (sc.retryAt(t) - now).Seconds(), failuresPhrase(t.FailuresLeft()))
+		}
+		if sc.needsProvenWorker(t, now) && allWorkers(set, func(worker string) bool {
+			s := sc.sessions[worker]
+			return s != nil && s.isUnproven()
+		}) {
+			return fmt.Sprintf("The latest runs on each worker that could run it (%d) failed; %s.",
+				set.Workers(), failuresPhrase(t.FailuresLeft()))
+		}
+		if step.Spec().GetGang() {
+			break
+		}
+	}
+	return ""
+}
+
+func failuresPhrase(left int) string {
+	if left <= 1 {
+		return "1 more failure fails the job"
 	}
-	return reason.NoMatchingWorker, fmt.Sprintf("It has failed on each worker that could run it (%d).", match.Set().Workers())
+	return fmt.Sprintf("%d more failures fail the job", left)
 }
 
 // missingUsableWorker returns a sentence if none of the workers that could run a step gets new runs now, and an empty
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -27,6 +27,7 @@
 	WaitsForStep         Reason = "waits_for_earlier_step"
 	WaitsForConsent      Reason = "waits_for_consent"
 	WaitsForIsolation    Reason = "waits_for_isolation"
+	WaitsToRetry         Reason = "waits_to_retry"
 )
 
 // Reasons why a request or a change was refused or retried.
--- a/core/reason/sets.go
+++ b/core/reason/sets.go
@@ -5,7 +5,7 @@
 	return []Reason{
 		NoCapacity, QuotaReached, ExceedsLargestWorker, ExceedsQuota, ExceedsCell, WaitsForAll, BehindOthers,
 		BehindReservation, SpreadUnsatisfied, JobHeld, StopInProgress, LeaseNotOver, NoWorkers, NoMatchingWorker,
-		NotYetDecided, RecoveryRateLimited, WaitsForStep, WaitsForConsent, WaitsForIsolation,
+		NotYetDecided, RecoveryRateLimited, WaitsForStep, WaitsForConsent, WaitsForIsolation, WaitsToRetry,
 	}
 }
 
