--- a/controld/internal/batch/batch.go
+++ b/controld/internal/batch/batch.go
@@ -139,10 +139,10 @@
 func (b *Batch) Runtimes() *runtimeestimator.Estimator { return b.runtimes }
 
 // Pending returns the number of jobs of a queue that wait for their first start.
-func (b *Batch) Pending(queue string) int {
+func (b *Batch) Pending(queue *wire.Queue) int {
 	count := 0
 	for _, j := range b.active {
-		if j.queue.GetName() == queue && j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
+		if j.BelongsTo(queue) && j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
 			count++
 		}
 	}
@@ -172,7 +172,10 @@
 }
 
 func (b *Batch) submit(spec *wire.SubmittedJob, effect *Effect) *wire.Result {
-	if b.jobs[spec.GetId()] != nil {
+	if j := b.jobs[spec.GetId()]; j != nil {
+		if j.Workspace() != spec.GetWorkspace() || j.hasPath() && !j.acceptedUnder(spec.GetHost(), spec.GetPrefix()) {
+			return &wire.Result{Reason: reason.Conflict.String(), Detail: "the job id is taken"}
+		}
 		// A resent submission is accepted and changes nothing.
 		return &wire.Result{}
 	}
@@ -180,6 +183,10 @@
 	if queue == nil {
 		return &wire.Result{Reason: reason.NotFound.String(), Detail: fmt.Sprintf("no queue %q", spec.GetQueue())}
 	}
+	if spec.GetHost() == queue.GetHost() && spec.GetPrefix() == queue.GetPrefix() {
+		// All jobs of a queue share the memory of its path.
+		spec.Host, spec.Prefix = queue.GetHost(), queue.GetPrefix()
+	}
 	b.accepted++
 	j := newJob(spec, queue, b.accepted)
 	j.workspace = b.workspaces[spec.GetWorkspace()]
@@ -404,7 +411,9 @@
 
 // endedSpec returns the part of a job's spec that is kept once the job has ended.
 func endedSpec(spec *wire.SubmittedJob) *wire.SubmittedJob {
-	return &wire.SubmittedJob{Id: spec.GetId(), Queue: spec.GetQueue(), Workspace: spec.GetWorkspace()}
+	return &wire.SubmittedJob{
+		Id: spec.GetId(), Queue: spec.GetQueue(), Workspace: spec.GetWorkspace(), Host: spec.GetHost(), Prefix: spec.GetPrefix(),
+	}
 }
 
 // Need returns the resources that each task of a step needs.
--- a/controld/internal/batch/batch_test.go
+++ b/controld/internal/batch/batch_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"flamingodrift.example/core/reason"
 	"flamingodrift.example/core/wire"
 )
 
@@ -238,7 +239,7 @@
 // arrived. Such jobs were once left out: four had waited for 5 s and none of them was reported.
 func TestPendingCountsRefusedStarts(t *testing.T) {
 	b := newTestBatch(&wire.JobStep{Count: 1, CpuMillis: 1})
-	queue := b.Job(jobID).Queue().GetName()
+	queue := b.Job(jobID).Queue()
 	require.Equal(t, 1, b.Pending(queue))
 	apply(b, place(placement(0, 0, 1, "w1", 1)))
 	require.Zero(t, b.Pending(queue))
@@ -277,24 +278,55 @@
 	require.Equal(t, uint32(9), b.Queue("short").GetAttempts())
 }
 
-// TestRoute checks that a call goes to the queue with its host and the longest matching prefix.
-func TestRoute(t *testing.T) {
+// TestResolve checks that a call goes to the queue with its host and the longest matching prefix, and to the job that was
+// accepted under its path.
+func TestResolve(t *testing.T) {
 	b := newTestBatch()
+	stored := testJob("00000000000000bb", &wire.JobStep{Count: 1})
+	stored.Host, stored.Prefix = "h.example", "/a/"
+	apply(b, &wire.QueueCommand{Submit: stored})
 	tests := []struct {
-		host, path, queue, rest string
-		ok                      bool
+		host, path, queue, rest, job string
+		ok, isQueue, namesJob        bool
 	}{
-		{"h.example", "/a/00", "short", "00", true},
-		{"H.example", "/a/b/00", "long", "00", true},
-		{"other.example", "/a/00", "", "", false},
-		{"h.example", "/c/00", "", "", false},
+		{host: "h.example", path: "/a/00", queue: "short", rest: "00", ok: true},
+		{host: "H.example", path: "/a/b/00", queue: "long", rest: "00", ok: true},
+		{host: "other.example", path: "/a/00"},
+		{host: "h.example", path: "/c/00"},
+		{host: "h.example", path: "/a/", queue: "short", ok: true, isQueue: true},
+		{host: "H.example", path: "/a/00000000000000bb", queue: "short", rest: "00000000000000bb", job: "00000000000000bb", ok: true, namesJob: true},
+		{host: "h.example", path: "/a/b/00000000000000bb", queue: "long", rest: "00000000000000bb", ok: true, namesJob: true},
+		{host: "other.example", path: "/a/00000000000000bb"},
+		{host: "h.example", path: "/a/b/" + jobID, queue: "long", rest: jobID, job: jobID, ok: true, namesJob: true},
 	}
 	for _, test := range tests {
-		queue, rest, ok := b.Route(test.host, test.path)
-		require.Equal(t, test.ok, ok, test.path)
-		require.Equal(t, test.queue, queue.GetName())
-		require.Equal(t, test.rest, rest)
+		r := b.Resolve(test.host, test.path)
+		require.Equal(t, test.ok, r.Queue() != nil, test.path)
+		require.Equal(t, test.queue, r.Queue().GetName())
+		require.Equal(t, test.rest, r.Rest())
+		require.Equal(t, test.isQueue, r.IsQueue(), test.path)
+		require.Equal(t, test.namesJob, r.NamesJob(), test.path)
+		require.Equal(t, test.job != "", r.Job() != nil, test.path)
+		if r.Job() != nil {
+			require.Equal(t, test.job, r.Job().ID())
+		}
+	}
+}
+
+// TestTakenID guards against acknowledging the submission of a job whose id another path or workspace took meanwhile.
+func TestTakenID(t *testing.T) {
+	b := newTestBatch()
+	submit := func(prefix, workspace string) string {
+		job := testJob("00000000000000bb", &wire.JobStep{Count: 1})
+		job.Host, job.Prefix, job.Workspace = "h.example", prefix, workspace
+		result, _ := b.Apply(&wire.QueueCommand{Submit: job})
+		return result.GetReason()
 	}
+	require.Empty(t, submit("/a/", ""))
+	require.Empty(t, submit("/a/", ""))
+	require.Equal(t, reason.Conflict.String(), submit("/a/b/", ""))
+	require.Equal(t, reason.Conflict.String(), submit("/a/", "w"))
+	require.Len(t, b.Active(), 2)
 }
 
 // TestCheckJob checks that jobs which could never be scheduled are rejected.
--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -100,11 +100,11 @@
 	case *wire.QueueCall_Submit:
 		c.submit(e, body.Submit, now)
 	case *wire.QueueCall_State:
-		c.replyJobState(e, body.State)
+		c.read(e, body.State, now)
 	case *wire.QueueCall_Cancel:
 		c.cancelJob(e, body.Cancel, now)
 	case *wire.QueueCall_Count:
-		c.replyPending(e, body.Count, now)
+		c.read(e, body.Count, now)
 	case *wire.QueueCall_Configure:
 		c.configureQueues(e, body.Configure, now)
 	case *wire.QueueCall_ReadConfig:
@@ -194,12 +194,14 @@
 		e.turnAway("no queue configuration yet", formingRetryDelay)
 		return
 	}
-	queue, id, ok := b.Route(call.GetHost(), call.GetPath())
-	if !ok {
-		// A job that was stored before its queue was dropped runs, so its caller must not be told that it does not.
-		if j := c.findJob(e, call); j != nil {
-			e.answer(&wire.QueueReply{})
-		}
+	path := b.Resolve(call.GetHost(), call.GetPath())
+	if path.Job() != nil {
+		c.replyResubmission(e, call, path)
+		return
+	}
+	queue, id := path.Queue(), path.Rest()
+	if queue == nil {
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
 		return
 	}
 	workspace, ok := c.authenticate(e, queue, call)
@@ -208,16 +210,13 @@
 	}
 	job := call.GetJob()
 	job.Id, job.Queue, job.Workspace = id, queue.GetName(), workspace
+	job.Host, job.Prefix = queue.GetHost(), queue.GetPrefix()
 	if problem := batch.CheckJob(job); problem != "" {
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, problem)
 		return
 	}
-	if j := b.Job(id); j != nil {
-		if j.Workspace() != workspace {
-			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, "the job id is taken")
-			return
-		}
-		e.answer(&wire.QueueReply{})
+	if b.Job(id) != nil {
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, "the job id is taken under another path")
 		return
 	}
 	if !c.acceptsChanges(e) {
@@ -242,7 +241,12 @@
 		return
 	}
 	c.proposeQueueCommand(e, &wire.QueueCommand{Submit: job}, now, func(result *wire.Result) {
-		if result.GetReason() != "" {
+		switch result.GetReason() {
+		case "":
+		case reason.Conflict.String():
+			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, result.GetDetail())
+			return
+		default:
 			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, result.GetDetail())
 			return
 		}
@@ -252,6 +256,21 @@
 	})
 }
 
+// replyResubmission replies to the submission of a job that is stored. It runs even if its queue was dropped, so its caller
+// must not be told that it does not.
+func (c *Controller) replyResubmission(e queueEvent, call *wire.JobCall, path batch.Reference) {
+	workspace, ok := c.authenticate(e, path.Job().Queue(), call)
+	switch {
+	case !ok:
+	case path.Job().Workspace() == workspace:
+		e.answer(&wire.QueueReply{})
+	case path.Queue() == nil:
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
+	default:
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_INVALID, "the job id is taken")
+	}
+}
+
 // authenticate returns the workspace of a call to a queue; it is empty where none is needed. When the configuration in
 // force does not hold the key of the call, it replies to the call itself and returns false.
 func (c *Controller) authenticate(e queueEvent, queue *wire.Queue, call *wire.JobCall) (workspace string, ok bool) {
@@ -265,20 +284,25 @@
 	return "", false
 }
 
-// findJob returns the job that a call names. When there is none in the caller's workspace, it replies to the call itself
-// and returns nil.
-func (c *Controller) findJob(e queueEvent, call *wire.JobCall) *batch.Job {
+// resolve returns what the path of a call refers to. Before the first configuration, it replies to the call itself and
+// returns false.
+func (c *Controller) resolve(e queueEvent, call *wire.JobCall) (batch.Reference, bool) {
 	b := c.cell.Batch()
 	if b.Config() == nil {
 		e.turnAway("no queue configuration yet", formingRetryDelay)
-		return nil
+		return batch.Reference{}, false
 	}
+	return b.Resolve(call.GetHost(), call.GetPath()), true
+}
+
+// jobAt returns the job that a path refers to. When there is none in the caller's workspace, it replies to the call itself
+// and returns nil.
+func (c *Controller) jobAt(e queueEvent, call *wire.JobCall, path batch.Reference) *batch.Job {
 	// Jobs outlive a queue that was dropped from the configuration.
-	j := b.Job(lastSegment(call.GetPath()))
-	queue, _, found := b.Route(call.GetHost(), call.GetPath())
+	j, queue := path.Job(), path.Queue()
 	if j != nil {
 		queue = j.Queue()
-	} else if !found {
+	} else if queue == nil {
 		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
 		return nil
 	}
@@ -293,14 +317,34 @@
 	return nil
 }
 
-func (c *Controller) replyJobState(e queueEvent, call *wire.JobCall) {
-	if j := c.findJob(e, call); j != nil {
-		e.answer(&wire.QueueReply{Phase: j.Phase()})
+// read replies with the state of a job or the number of pending jobs of a queue, as the path says.
+func (c *Controller) read(e queueEvent, call *wire.JobCall, now time.Duration) {
+	path, ok := c.resolve(e, call)
+	switch {
+	case !ok:
+	case path.IsQueue():
+		c.replyPending(e, call, path.Queue(), now)
+	case path.Job() == nil && !path.NamesJob():
+		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
+	default:
+		if j := c.jobAt(e, call, path); j != nil {
+			e.answer(&wire.QueueReply{Phase: j.Phase()})
+		}
+	}
+}
+
+func (c *Controller) replyPending(e queueEvent, call *wire.JobCall, queue *wire.Queue, now time.Duration) {
+	if _, ok := c.authenticate(e, queue, call); ok {
+		e.answer(&wire.QueueReply{Pending: uint32(c.scheduler.Pending(queue, now)), IsCount: true})
 	}
 }
 
 func (c *Controller) cancelJob(e queueEvent, call *wire.JobCall, now time.Duration) {
-	j := c.findJob(e, call)
+	path, ok := c.resolve(e, call)
+	if !ok {
+		return
+	}
+	j := c.jobAt(e, call, path)
 	if j == nil {
 		return
 	}
@@ -315,23 +359,6 @@
 	})
 }
 
-func (c *Controller) replyPending(e queueEvent, call *wire.JobCall, now time.Duration) {
-	b := c.cell.Batch()
-	if b.Config() == nil {
-		e.turnAway("no queue configuration yet", formingRetryDelay)
-		return
-	}
-	queue, rest, ok := b.Route(call.GetHost(), call.GetPath())
-	if !ok || rest != "" {
-		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
-		return
-	}
-	if _, ok := c.authenticate(e, queue, call); !ok {
-		return
-	}
-	e.answer(&wire.QueueReply{Pending: uint32(c.scheduler.Pending(queue.GetName(), now))})
-}
-
 func (c *Controller) configureQueues(e queueEvent, config *wire.QueueConfig, now time.Duration) {
 	current := c.cell.Batch().Config()
 	if current != nil && config.GetVersion() <= current.GetVersion() {
@@ -389,12 +416,3 @@
 	}
 	return addresses
 }
-
-func lastSegment(path string) string {
-	for i := len(path) - 1; i >= 0; i-- {
-		if path[i] == '/' {
-			return path[i+1:]
-		}
-	}
-	return path
-}
--- a/controld/internal/scheduler/matching_test.go
+++ b/controld/internal/scheduler/matching_test.go
@@ -362,7 +362,7 @@
 	require.Equal(t, reason.WaitsToRetry, w.Reason)
 	require.Contains(t, w.Detail, "It has failed on each worker that could run it (1)")
 	require.Zero(t, h.countBacklog(0, h.now).coreMsAhead(h.batch.Queue("q")).sum())
-	require.Equal(t, 0, h.Pending("q", h.now), "it has begun")
+	require.Equal(t, 0, h.Pending(h.batch.Queue("q"), h.now), "it has begun")
 	require.Len(t, h.waitingSteps(&round{now: h.now + time.Second}), 1)
 }
 
@@ -409,7 +409,7 @@
 	}
 	h.advance(0)
 	require.Equal(t, 5, h.Impossible())
-	require.Equal(t, 5, h.Pending("q", h.now))
+	require.Equal(t, 5, h.Pending(h.batch.Queue("q"), h.now))
 }
 
 // TestWaitOfFewWorkers guards against one wait for all jobs of a queue: work for a part of the workers delays the jobs
--- a/controld/internal/scheduler/pending.go
+++ b/controld/internal/scheduler/pending.go
@@ -13,10 +13,10 @@
 
 // Pending returns the number of jobs of a queue that wait for their first start, those included whose start orders have
 // reached no worker for certain.
-func (sc *Scheduler) Pending(queue string, now time.Duration) int {
+func (sc *Scheduler) Pending(queue *wire.Queue, now time.Duration) int {
 	count := sc.batch.Pending(queue)
 	for _, j := range sc.jobs.runnable {
-		if j.Queue().GetName() == queue && j.Phase() == wire.JobPhase_JOB_PHASE_RUNNING && !sc.hasStarted(j, now) {
+		if j.BelongsTo(queue) && j.Phase() == wire.JobPhase_JOB_PHASE_RUNNING && !sc.hasStarted(j, now) {
 			count++
 		}
 	}
--- a/controld/internal/scheduler/restart_test.go
+++ b/controld/internal/scheduler/restart_test.go
@@ -267,13 +267,13 @@
 			h := newHarness(t, nil, "w1")
 			h.connectWorkers()
 			h.submit(oneTaskStep())
-			require.Equal(t, 1, h.Pending("q", h.now))
+			require.Equal(t, 1, h.Pending(h.batch.Queue("q"), h.now))
 			h.advance(time.Millisecond)
 			h.Started(h.takeStart(), test.answer(h), h.now)
-			require.Zero(t, h.Pending("q", h.now), "the answer may still come")
+			require.Zero(t, h.Pending(h.batch.Queue("q"), h.now), "the answer may still come")
 			h.advance(pendingAfter)
-			require.Equal(t, test.pending, h.Pending("q", h.now))
-			require.Zero(t, h.Pending("another", h.now))
+			require.Equal(t, test.pending, h.Pending(h.batch.Queue("q"), h.now))
+			require.Zero(t, h.Pending(&wire.Queue{Name: "another"}, h.now))
 		})
 	}
 }
