--- a/controld/internal/allocator/independent.go
+++ b/controld/internal/allocator/independent.go
@@ -49,18 +49,18 @@
 			break
 		}
 		c := r.choose(d, task, p.placed)
-		if c.candidate >= 0 && (withLastResort || c.preference < lastResort) {
+		// If a task without restrictions of its own does not fit, no other task of the step does.
+		isUnrestricted := len(task.Avoid) == 0 && !task.LastAttempt
+		switch {
+		case c.candidate < 0:
+			r.recordBlocked(p.demand, c.lacksConsent)
+		case withLastResort || c.preference < lastResort:
 			p.placed[c.candidate]++
 			r.place(p.demand, task.Index, d.Candidates[c.candidate].Worker)
 			continue
-		}
-		// If a task without restrictions of its own did not fit, no other task of the step can.
-		isUnrestricted := len(task.Avoid) == 0 && !task.LastAttempt
-		if c.candidate < 0 {
-			r.recordBlocked(p.demand, c.lacksConsent)
-		} else if isUnrestricted {
+		case isUnrestricted:
 			postponed.tasks = append(postponed.tasks, p.tasks[i:]...)
-		} else {
+		default:
 			postponed.tasks = append(postponed.tasks, task)
 		}
 		if isUnrestricted {
--- a/controld/internal/controller/paths_test.go
+++ b/controld/internal/controller/paths_test.go
@@ -25,12 +25,12 @@
 	version uint64
 }
 
-func newCallers(t *testing.T, nodes int) *callers {
+func newCallers(t *testing.T) *callers {
 	t.Helper()
 	f := newFakeFleet(t, 1, 0)
 	config := f.config()
-	config.MinVoters = nodes
-	c := &callers{group: newGroupWithQueues(t, nodes, config)}
+	config.MinVoters = 1
+	c := &callers{group: newGroupWithQueues(t, 1, config)}
 	f.group = c.group
 	c.handler = jobhandler.New(jobhandler.Config{Queues: c, MaxJobBytes: 1 << 20})
 	return c
@@ -79,25 +79,35 @@
 		{"no slash", [][2]string{{"q", "/walkin-"}}, [][2]string{{"q", "/walkin-"}}, "/walkin-", `{"pending":1}`},
 		{"the root", [][2]string{{"q", "/"}}, [][2]string{{"q", "/"}}, "/", `{"pending":1}`},
 		{
-			"no slash inside another", [][2]string{{"q", "/a"}, {"r", "/a/b-"}}, [][2]string{{"q", "/a"}, {"r", "/a/b-"}},
+			"no slash inside another",
+			[][2]string{{"q", "/a"}, {"r", "/a/b-"}},
+			[][2]string{{"q", "/a"}, {"r", "/a/b-"}},
 			"/a/b-", `{"pending":1}`,
 		},
 		{
-			"outside another", [][2]string{{"q", "/a"}, {"r", "/a/b-"}}, [][2]string{{"q", "/a"}, {"r", "/a/b-"}},
+			"outside another",
+			[][2]string{{"q", "/a"}, {"r", "/a/b-"}},
+			[][2]string{{"q", "/a"}, {"r", "/a/b-"}},
 			"/a", `{"pending":1}`,
 		},
 		{
-			"a longer prefix is added that covers the job", [][2]string{{"q", "/a/"}}, [][2]string{{"q", "/a/"}, {"r", "/a/01"}},
+			"a longer prefix is added that covers the job",
+			[][2]string{{"q", "/a/"}},
+			[][2]string{{"q", "/a/"}, {"r", "/a/01"}},
 			"/a/", `{"pending":1}`,
 		},
 		{
-			"the whole path becomes a prefix", [][2]string{{"q", "/a/"}}, [][2]string{{"q", "/a/"}, {"r", "/a/" + id}},
+			"the whole path becomes a prefix",
+			[][2]string{{"q", "/a/"}},
+			[][2]string{{"q", "/a/"}, {"r", "/a/" + id}},
 			"/a/", `{"pending":1}`,
 		},
 		{"a shorter prefix is added", [][2]string{{"q", "/a/b-"}}, [][2]string{{"q", "/a/b-"}, {"r", "/a/"}}, "/a/b-", `{"pending":1}`},
 		{"the queue is dropped", [][2]string{{"q", "/walkin-"}}, [][2]string{{"r", "/b/"}}, "/walkin-", ""},
 		{
-			"the queue is dropped, another covers the path", [][2]string{{"q", "/a/walkin-"}}, [][2]string{{"r", "/a/"}},
+			"the queue is dropped, another covers the path",
+			[][2]string{{"q", "/a/walkin-"}},
+			[][2]string{{"r", "/a/"}},
 			"/a/walkin-", "",
 		},
 		{"the queue gets another prefix", [][2]string{{"q", "/walkin-"}}, [][2]string{{"q", "/b/"}}, "/walkin-", ""},
@@ -105,7 +115,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := newCallers(t, 1)
+			c := newCallers(t)
 			c.configure(test.before...)
 			path := test.prefix + id
 			status, body := c.do(http.MethodGet, path)
@@ -139,7 +149,7 @@
 // submission that is acknowledged but not stored because its id is taken.
 func TestJobsOfOtherPaths(t *testing.T) {
 	const id = "0123456789abcdef"
-	c := newCallers(t, 1)
+	c := newCallers(t)
 	c.configure([2]string{"q", "/walkin-"}, [2]string{"r", "/b/"}, [2]string{"s", "/"})
 	status, body := c.do(http.MethodPost, "/walkin-"+id)
 	require.Equal(t, http.StatusOK, status, body)
@@ -157,7 +167,7 @@
 
 // TestJobsWithoutPath guards against losing jobs that an earlier version stored, without the path of their acceptance.
 func TestJobsWithoutPath(t *testing.T) {
-	c := newCallers(t, 1)
+	c := newCallers(t)
 	c.configure([2]string{"q", "/walkin-"})
 	c.group.awaitLeader().ctl.propose(c.group.now, &wire.Command{Body: &wire.Command_Queue{Queue: &wire.QueueCommand{
 		Submit: &wire.SubmittedJob{Id: submitID(1), Queue: "q", Steps: []*wire.JobStep{{Count: 1, CpuMillis: 1000}}},
@@ -195,26 +205,26 @@
 		if first == second || !utf8.ValidString(path) || len(path) > 200 {
 			t.Skip()
 		}
-		c := newCallers(t, 1)
+		c := newCallers(t)
 		before := [][2]string{{"q", first}, {"r", second}}
 		c.configure(before...)
-		status, body := c.do(http.MethodPost, path)
+		status, _ := c.do(http.MethodPost, path)
 		if status != http.StatusOK {
-			status, body = c.do(http.MethodGet, path)
+			status, body := c.do(http.MethodGet, path)
 			require.NotContains(t, body, "state", status)
 			status, body = c.do(http.MethodDelete, path)
 			require.NotEqual(t, http.StatusOK, status, body)
 			return
 		}
 		if other := second + id; other != path {
-			_, body = c.do(http.MethodGet, other)
+			_, body := c.do(http.MethodGet, other)
 			require.NotContains(t, body, "state")
 			status, _ = c.do(http.MethodDelete, other)
 			require.NotEqual(t, http.StatusOK, status)
 		}
 		after, prefixInForce := changedQueues(before, path, change, covered)
 		c.configure(after...)
-		_, body = c.do(http.MethodGet, path)
+		_, body := c.do(http.MethodGet, path)
 		require.Equal(t, `{"state":"queued"}`, body)
 		status, body = c.do(http.MethodPost, path)
 		require.Equal(t, http.StatusOK, status, body)
