Scheduler: look for delayed tasks only in jobs with a failed run

Each round asked all waiting jobs without a run whether their tasks wait to retry, which looked their matches up a second time. A job without a failed run never does; asking its steps first costs a few loads.

--- a/controld/internal/scheduler/retry.go
+++ b/controld/internal/scheduler/retry.go
@@ -140,6 +140,9 @@
 // retryDelayed returns when the first waiting task of a job may start again, if all tasks that could start wait to retry,
 // and 0 otherwise.
 func (sc *Scheduler) retryDelayed(j *batch.Job, now time.Duration) time.Duration {
+	if !slices.ContainsFunc(j.Steps(), (*batch.Step).Failed) {
+		return 0
+	}
 	matches := sc.matchesOf(j)
 	var first time.Duration
 	for _, step := range j.Steps() {
