--- a/controld/internal/allocator/allocator.go
+++ b/controld/internal/allocator/allocator.go
@@ -71,9 +71,9 @@
 	Reserved []GangShare
 	// Length is how long a task is expected to run; 0 means unknown.
 	Length time.Duration
-	// IgnoreHeadroom is set for a demand that has waited so long that it may use the headroom of workers. It does so after
-	// all other demands of the round.
-	IgnoreHeadroom bool
+	// HeadroomUse says whether the demand has waited so long that it may use the headroom of workers. It does so after all
+	// other demands of the round.
+	HeadroomUse HeadroomUse
 	// Allowance is what the workspace of the demand may still use on all workers together. The demands of a workspace
 	// share it, and placements reduce it. It is nil without a limit.
 	Allowance *resource.Vector
@@ -97,6 +97,18 @@
 	Overdue
 )
 
+// HeadroomUse says whether a demand may use the headroom.
+type HeadroomUse int
+
+// Kinds of use of the headroom.
+const (
+	NoHeadroom HeadroomUse = iota
+	// IdleHeadroom allows it while more than half of the processors are free after all other demands of the round. A backlog
+	// that has waited through an outage would otherwise take the headroom of an idle cell at once.
+	IdleHeadroom
+	AnyHeadroom
+)
+
 // Task is one waiting task of a demand.
 type Task struct {
 	Index int
@@ -207,7 +219,9 @@
 	urgentCPU []int64
 	// stopped holds the handles of the runs that this round stops.
 	stopped map[int]bool
-	// mostFree is set while more than half of the processors are free.
+	// capacityCPU and freeCPU are the capacity of all workers and what is free of it now, in thousandths of a core.
+	capacityCPU, freeCPU int64
+	// mostFree is set if more than half of the processors were free at the beginning of the round.
 	mostFree bool
 	// reserving counts the waiting gangs that were allowed to reserve capacity.
 	reserving int
@@ -227,13 +241,12 @@
 		reservations: make([][]reservation, len(workers)), stopped: map[int]bool{},
 		placedOn: make([]bool, len(workers)), urgentCPU: make([]int64, len(workers)),
 	}
-	var capacity, free int64
 	for i := range workers {
 		r.free[i] = workers[i].Free
-		capacity += workers[i].Capacity.CPU()
-		free += workers[i].Free.CPU()
+		r.capacityCPU += workers[i].Capacity.CPU()
+		r.freeCPU += workers[i].Free.CPU()
 	}
-	r.mostFree = 2*free > capacity
+	r.mostFree = r.isMostFree()
 	for d := range demands {
 		r.reserve(d, demands[d].Reserved, 0)
 	}
@@ -286,7 +299,7 @@
 // available returns the capacity of a worker that a demand may use now beside the headroom.
 func (r *round) available(d *Demand, worker int) resource.Vector {
 	free := r.unclaimed(d, worker)
-	if d.Gang && d.IgnoreHeadroom {
+	if d.Gang && r.mayUseHeadroom(d) {
 		return free
 	}
 	capacity := r.workers[worker].Capacity
@@ -305,6 +318,14 @@
 	return free
 }
 
+// mayUseHeadroom reports whether a demand has waited so long that it may use the headroom.
+func (r *round) mayUseHeadroom(d *Demand) bool {
+	return d.HeadroomUse == AnyHeadroom || d.HeadroomUse == IdleHeadroom && r.isMostFree()
+}
+
+// isMostFree reports whether more than half of the processors are free now.
+func (r *round) isMostFree() bool { return 2*r.freeCPU > r.capacityCPU }
+
 // unclaimed returns the free capacity of a worker without what is reserved. Reserved capacity is open to demands of a more
 // urgent priority, and to tasks that should end before the gang starts.
 func (r *round) unclaimed(d *Demand, worker int) resource.Vector {
@@ -326,6 +347,7 @@
 
 func (r *round) place(d, task, worker int) {
 	r.free[worker] = r.free[worker].Sub(r.demands[d].Need)
+	r.freeCPU -= r.demands[d].Need.CPU()
 	if r.demands[d].Priority == 0 {
 		r.urgentCPU[worker] += r.demands[d].Need.CPU()
 	}
--- a/controld/internal/allocator/allocator_test.go
+++ b/controld/internal/allocator/allocator_test.go
@@ -365,17 +365,32 @@
 	demand := independent(1, 30, candidatesOn(1))
 	require.Equal(t, []int{0}, workersOf(a.Decide(idle, []Demand{demand}, runsFunc(idle, nil)), 0))
 	require.Empty(t, workersOf(a.Decide(busy, []Demand{demand}, runsFunc(busy, nil)), 0))
-	demand.IgnoreHeadroom = true
+	demand.HeadroomUse = AnyHeadroom
 	require.Equal(t, []int{0}, workersOf(a.Decide(busy, []Demand{demand}, runsFunc(busy, nil)), 0))
 	urgent := independent(1, 2, candidatesOn(1))
 	urgent.Priority, urgent.Lateness, urgent.StartBy = 0, Overdue, 9
 	plan := a.Decide(busy, []Demand{demand, urgent}, runsFunc(busy, nil))
 	require.Empty(t, workersOf(plan, 0), "the headroom is for urgent tasks first")
 	require.Equal(t, []int{0}, workersOf(plan, 1))
+	demand.HeadroomUse = IdleHeadroom
+	require.Equal(t, []int{0}, workersOf(a.Decide(busy, []Demand{demand}, runsFunc(busy, nil)), 0))
+	inUse := workers(30)
+	inUse[0].Capacity = cores(64)
+	require.Empty(t, workersOf(a.Decide(inUse, []Demand{demand}, runsFunc(inUse, nil)), 0), "most of the capacity is in use")
 	two := independent(2, 15, candidatesOn(1))
 	require.Equal(t, []int{0}, workersOf(a.Decide(idle, []Demand{two}, runsFunc(idle, nil)), 0))
 }
 
+// TestBacklogLeavesHeadroom guards against a backlog that has waited through an outage taking the headroom of an idle cell in
+// one round: the urgent tasks of the next second found no room (fraser-lens, trouble-1).
+func TestBacklogLeavesHeadroom(t *testing.T) {
+	a := New(Config{Headroom: 0.12, StopTime: 400 * time.Millisecond, MaxReservingGangs: 1})
+	idle := workers(32, 32)
+	backlog := independent(100, 2, candidatesOn(2))
+	backlog.HeadroomUse = IdleHeadroom
+	require.Len(t, a.Decide(idle, []Demand{backlog}, runsFunc(idle, nil)).Placements, 2*14)
+}
+
 // TestCapacityNeverExceeded checks under a mixed load that the placements of a round fit together into the free
 // capacity.
 func TestCapacityNeverExceeded(t *testing.T) {
--- a/controld/internal/allocator/independent.go
+++ b/controld/internal/allocator/independent.go
@@ -124,7 +124,7 @@
 	}
 	isLastResort := w.Unproven && task.LastAttempt
 	if !d.Need.FitsIn(r.available(d, c.Worker)) {
-		if !d.IgnoreHeadroom || !d.Need.FitsIn(r.unclaimed(d, c.Worker)) {
+		if !r.mayUseHeadroom(d) || !d.Need.FitsIn(r.unclaimed(d, c.Worker)) {
 			return unsuitable
 		}
 		isLastResort = true
--- a/controld/internal/scheduler/decide.go
+++ b/controld/internal/scheduler/decide.go
@@ -373,7 +373,7 @@
 		Length: sc.stepLength(step),
 	}
 	d.StartBy, d.Lateness, d.Reserved = w.startBy, w.lateness, r.reservedShares(sc.reservations[step])
-	d.IgnoreHeadroom = sc.ignoresHeadroom(step, r.now)
+	d.HeadroomUse = sc.headroomUse(step, r.now)
 	isGang := startsTogether(step)
 	provenOnly := isGang && sc.needsProvenWorker(w.tasks[0], r.now)
 	for _, t := range w.tasks {
--- a/controld/internal/scheduler/retry.go
+++ b/controld/internal/scheduler/retry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"flamingodrift.example/controld/internal/allocator"
 	"flamingodrift.example/controld/internal/batch"
 	"flamingodrift.example/controld/internal/matcher"
 )
@@ -94,13 +95,16 @@
 	return now < since+maxProvenWait
 }
 
-// ignoresHeadroom reports whether a step has waited so long that it may use the headroom.
-func (sc *Scheduler) ignoresHeadroom(step *batch.Step, now time.Duration) bool {
-	maxWait := maxHeadroomWait
-	if sc.mostCapacityFree {
-		maxWait = maxHeadroomWaitIdle
+// headroomUse returns whether a step has waited so long that it may use the headroom.
+func (sc *Scheduler) headroomUse(step *batch.Step, now time.Duration) allocator.HeadroomUse {
+	switch waited := now - sc.waitsSince(step, now); {
+	case waited >= maxHeadroomWait:
+		return allocator.AnyHeadroom
+	case waited >= maxHeadroomWaitIdle:
+		return allocator.IdleHeadroom
+	default:
+		return allocator.NoHeadroom
 	}
-	return now-sc.waitsSince(step, now) >= maxWait
 }
 
 // waitsToRetry reports whether a task has failed on all workers that could run it, or its gang on so many that it does not
