--- a/controld/internal/explainer/sentences.go
+++ b/controld/internal/explainer/sentences.go
@@ -22,6 +22,7 @@
 	reason.RecoveryRateLimited:  "Many tasks are placed again after a failure, at a bounded rate; it starts at its turn.",
 	reason.WaitsForStep:         "An earlier step of its job is not done; it starts when that step has ended.",
 	reason.WaitsForIsolation:    "Workers were lost just after they began it, so it starts apart from other work; it starts when such a worker is free.",
+	reason.WaitsToRetry:         "Its tasks have failed on the workers that are left for it; it starts there again after a delay, or earlier on another.",
 	reason.WaitsForConsent:      "The service that decides which workers may run it has not allowed enough of them yet; more are asked for.",
 }
 
