--- a/controld/internal/controller/queue.go
+++ b/controld/internal/controller/queue.go
@@ -324,8 +324,10 @@
 	case !ok:
 	case path.IsQueue():
 		c.replyPending(e, call, path.Queue(), now)
-	case path.Job() == nil && !path.NamesJob():
-		e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
+	case path.Job() == nil && path.Queue() != nil && !path.NamesJob():
+		if _, ok := c.authenticate(e, path.Queue(), call); ok {
+			e.fail(wire.QueueOutcome_QUEUE_OUTCOME_NO_QUEUE, "no such queue")
+		}
 	default:
 		if j := c.jobAt(e, call, path); j != nil {
 			e.answer(&wire.QueueReply{Phase: j.Phase()})
--- a/controld/internal/controller/workspace_test.go
+++ b/controld/internal/controller/workspace_test.go
@@ -86,6 +86,8 @@
 		{"cancel a job of another workspace", withKey(cancelCall(1), "kb", ""), outcomeNoJob},
 		{"cancel without a key", withKey(cancelCall(1), "kx", ""), outcomeUnknownKey},
 		{"read a job that does not exist", withKey(stateCall(9), "ka", ""), outcomeNoJob},
+		{"read a path without an id and without a key", withKey(stateCall(9), "kx", "/q/none"), outcomeUnknownKey},
+		{"read a path without an id", withKey(stateCall(9), "ka", "/q/none"), outcomeNoQueue},
 		{"count", withKey(countCall(), "kb", ""), outcomeOK},
 		{"count without a key", withKey(countCall(), "", ""), outcomeUnknownKey},
 		{"public queue without a key", withKey(small(2), "", "/open/"+submitID(2)), outcomeOK},
